--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# Tasks: build, test, lint, run.
+.PHONY: build test lint run
+SOURCES := $(shell find include src adapter tests examples tools -name '*.cpp' -o -name '*.h')
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF
+	cmake --build build -j4
+
+test:
+	cmake -B build-test -DCMAKE_BUILD_TYPE=Release
+	cmake --build build-test -j4
+	ctest --test-dir build-test --output-on-failure -j4
+
+lint:
+	clang-format --dry-run -Werror $(SOURCES)
+
+run: build
+	exec build/marblehub
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -5,19 +5,17 @@
 #include <iosfwd>
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "config/options.h"
 #include "lemonspread/lemonspread.h"
 
 namespace lemonspread::wire {
 
 // Input that the wire page does not allow; what() is one plain line.
-struct WireError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using WireError = marblehub::config::DecodeError;
 
 class Adapter {
  public:
--- /dev/null
+++ b/src/config/json.cpp
@@ -0,0 +1,92 @@
+#include "config/json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marblehub::config {
+namespace {
+
+using nlohmann::json;
+
+std::string plain(const json& value) {
+  if (value.is_string()) return value.get<std::string>();
+  if (value.is_null()) return "";
+  return value.dump();
+}
+
+void flatten_into(Values& values, const std::string& path, const json& value) {
+  std::string prefix = path.empty() ? path : path + ".";
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten_into(values, prefix + key, item);
+  } else if (value.is_array() && !value.empty() && value.front().is_structured()) {
+    values[prefix + "count"] = std::to_string(value.size());
+    for (std::size_t i = 0; i < value.size(); ++i) flatten_into(values, prefix + std::to_string(i), value[i]);
+  } else if (value.is_array()) {
+    std::string joined;
+    for (const json& item : value) joined += (joined.empty() ? "" : ",") + plain(item);
+    values[path] = joined;
+  } else {
+    values[path] = plain(value);
+  }
+}
+
+}  // namespace
+
+Options flatten(std::string_view text, std::string place) {
+  json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) throw DecodeError(place + "expected a JSON object");
+  Values values;
+  flatten_into(values, "", document);
+  return Options(std::move(values), std::move(place));
+}
+
+Options below(const Options& options, std::string_view path, std::string place) {
+  std::string prefix = std::string(path) + ".";
+  Values values;
+  for (auto it = options.values().lower_bound(prefix);
+       it != options.values().end() && it->first.starts_with(prefix); ++it)
+    values.emplace(it->first.substr(prefix.size()), it->second);
+  return Options(std::move(values), std::move(place));
+}
+
+WorkerList list_from(const Options& options) {
+  using lemonspread::Health;
+  WorkerList list;
+  list.index = options.number_or<std::int64_t>("index", 0, 0);
+  list.snapshot = options.flag("snapshot");
+  auto count = options.number_or<std::size_t>("endpoints.count", 0, 0);
+  for (std::size_t i = 0; i < count; ++i) {
+    std::string path = "endpoints." + std::to_string(i) + ".";
+    WorkerEntry entry;
+    entry.backend.address = options.text(path + "name");
+    entry.backend.health = options.choice<Health>(
+        path + "status",
+        {{"ready", Health::serving}, {"draining", Health::draining}, {"gone", Health::deleted}});
+    if (const std::string* zone = options.find(path + "zone")) entry.backend.zone = *zone;
+    if (const std::string* address = options.find(path + "address")) entry.address = *address;
+    entry.backend.cell = options.number_or<std::int64_t>(path + "group", -1, -1);
+    entry.backend.scale = options.number_or<double>(path + "weight", 0, 1);
+    entry.backend.start_time = options.number_or<std::int64_t>(path + "since_ms", 0, 0) * 1000;
+    list.workers.push_back(std::move(entry));
+  }
+  return list;
+}
+
+Startup startup_from(std::string_view text) {
+  Options all = flatten(text, "");
+  Startup s;
+  s.name = all.text("name");
+  s.listen = all.text("listen");
+  s.registry = all.text("discovery");
+  if (const std::string* seed = all.find("seed")) {
+    auto [end, error] = std::from_chars(seed->data(), seed->data() + seed->size(), s.seed, 16);
+    if (error != std::errc() || end != seed->data() + seed->size())
+      all.refuse("seed", "a hexadecimal number");
+  }
+  s.sockets = all.number_or<std::int64_t>("limits.sockets", 16, s.sockets);
+  if (all.find("known.snapshot")) s.known = list_from(below(all, "known", "known: "));
+  s.settings = settings_from(below(all, "settings", "settings: "));
+  if (const std::string* file = all.find("quic")) s.quic_file = *file;
+  return s;
+}
+
+}  // namespace marblehub::config
--- /dev/null
+++ b/src/config/json.h
@@ -0,0 +1,45 @@
+// JSON documents, flattened into path=value pairs for the common decoder. No field is read from JSON
+// directly.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/options.h"
+
+namespace marblehub::config {
+
+// A list of plain values is joined by commas; a list of objects gives .count and its items under .0, .1 ...
+Options flatten(std::string_view json, std::string place);
+
+// The part of the options below `path`, with the path taken off.
+Options below(const Options& options, std::string_view path, std::string place);
+
+struct WorkerEntry {
+  lemonspread::BackendEntry backend;  // its address is the worker's name: the same at every balancer
+  std::string address;                // where this balancer reaches it
+};
+
+// One answer of the registry, or the list a balancer is started with.
+struct WorkerList {
+  std::int64_t index = 0;
+  bool snapshot = true;
+  std::vector<WorkerEntry> workers;
+};
+WorkerList list_from(const Options& options);
+
+// What the platform hands a balancer at start.
+struct Startup {
+  std::string name, listen, registry;
+  std::uint64_t seed = 0;
+  std::int64_t sockets = 1024;
+  WorkerList known;
+  lemonspread::Settings settings;
+  std::string quic_file;  // of the second front; empty: off
+};
+Startup startup_from(std::string_view json);
+
+}  // namespace marblehub::config
--- /dev/null
+++ b/src/config/options.cpp
@@ -0,0 +1,56 @@
+#include "config/options.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace marblehub::config {
+
+using namespace lemonspread;
+
+Settings settings_from(const Options& options) {
+  Settings s;
+  s.balancers = options.number<int>("balancers", 1);
+  s.me = options.number<int>("me", 0);
+  s.zone = options.text("zone");
+  s.ask_registry = options.choice<bool>("registry_mode", {{"push", false}, {"ask", true}});
+  s.max_attempts = options.number<int>("limits.max_attempts", 1);
+  s.may_probe = options.flag("limits.probes");
+  s.may_decline_with_pause = options.flag("limits.retry_after");
+  s.max_pause_us = options.number<Time>("limits.max_retry_after_us", 0);
+  s.connect_timeout_us = options.number<Time>("limits.connect_timeout_us", 0);
+  s.cold_share = options.number<double>("invariants.cold_share", 0);
+  s.warm_within_us = options.number<Time>("invariants.warm_within_us", 0);
+  s.price_probe = options.number_or<double>("prices.probe", 0, 0);
+  s.price_cross_zone = options.number_or<double>("prices.cross_zone", 0, 0);
+
+  std::vector<double> aims;  // absent where there are no standing connections
+  if (const std::string* list = options.find("specifics.message_aim_us")) {
+    for (std::size_t at = 0; at < list->size();) {
+      std::size_t comma = std::min(list->find(',', at), list->size());
+      std::optional<double> aim = number_in<double>(std::string_view(*list).substr(at, comma - at));
+      if (!aim || *aim < 0) options.refuse("specifics.message_aim_us", "numbers, 0 or more");
+      aims.push_back(*aim);
+      at = comma + 1;
+    }
+  }
+  int classes = options.number<int>("request_classes.count", 1);
+  for (int i = 0; i < classes; ++i) {
+    std::string path = "request_classes." + std::to_string(i) + ".";
+    RequestClass c;
+    c.name = options.text(path + "name");
+    c.slo_us = options.number<Time>(path + "slo_us", 0);
+    c.repeat = options.choice<Repeat>(
+        path + "repeat", {{"safe", Repeat::safe}, {"keyed", Repeat::keyed}, {"unsafe", Repeat::unsafe}});
+    c.dedup_scope = options.choice<DedupScope>(
+        path + "dedup_scope",
+        {{"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}});
+    c.window_us = options.number<Time>(path + "window_us", 0);
+    c.stream = options.flag(path + "stream");
+    if (static_cast<std::size_t>(i) < aims.size()) c.message_aim_us = static_cast<Time>(aims[i]);
+    s.classes.push_back(std::move(c));
+  }
+  if (std::string key = settings_error(s); !key.empty()) options.refuse(key, "another value");
+  return s;
+}
+
+}  // namespace marblehub::config
--- /dev/null
+++ b/src/config/options.h
@@ -0,0 +1,87 @@
+// The one place where settings and lists are decoded. A source (the bench's attach line, a JSON document)
+// is brought into path=value pairs; everything after that is common to the adapter and the program.
+#pragma once
+
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "lemonspread/lemonspread.h"
+
+namespace marblehub::config {
+
+// What is wrong with the input, as one plain line.
+struct DecodeError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+template <class Number>
+std::optional<Number> number_in(std::string_view text) {
+  Number value{};
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  if constexpr (std::is_floating_point_v<Number>)
+    if (!std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+using Values = std::map<std::string, std::string, std::less<>>;
+
+// Path=value pairs, and where they came from.
+class Options {
+ public:
+  Options(Values values, std::string place) : values_(std::move(values)), place_(std::move(place)) {}
+
+  [[noreturn]] void refuse(std::string_view key, std::string_view expected) const {
+    throw DecodeError(place_ + "setting " + std::string(key) + ": expected " + std::string(expected));
+  }
+  const std::string* find(std::string_view key) const {
+    auto it = values_.find(key);
+    return it == values_.end() ? nullptr : &it->second;
+  }
+  const std::string& text(std::string_view key) const {
+    const std::string* value = find(key);
+    if (!value) refuse(key, "a value");
+    return *value;
+  }
+  template <class Number>
+  Number number(std::string_view key, Number least) const {
+    std::optional<Number> value = number_in<Number>(text(key));
+    if (!value || *value < least) refuse(key, "a number, " + std::to_string(least) + " or more");
+    return *value;
+  }
+  template <class Number>
+  Number number_or(std::string_view key, Number least, Number absent) const {
+    return find(key) ? number<Number>(key, least) : absent;
+  }
+  bool flag(std::string_view key) const {
+    const std::string& value = text(key);
+    if (value != "true" && value != "false") refuse(key, "true or false");
+    return value == "true";
+  }
+  template <class Choice>
+  Choice choice(std::string_view key,
+                std::initializer_list<std::pair<std::string_view, Choice>> choices) const {
+    const std::string& value = text(key);
+    std::string names;
+    for (const auto& [name, meaning] : choices) {
+      if (value == name) return meaning;
+      names += (names.empty() ? "" : ", ") + std::string(name);
+    }
+    refuse(key, "one of " + names);
+  }
+  const Values& values() const { return values_; }
+
+ private:
+  Values values_;
+  std::string place_;
+};
+
+lemonspread::Settings settings_from(const Options& options);
+
+}  // namespace marblehub::config
--- /dev/null
+++ b/src/core/dispatcher.cpp
@@ -0,0 +1,407 @@
+#include "core/dispatcher.h"
+
+#include <algorithm>
+
+#include "log/log.h"
+
+namespace marblehub::core {
+namespace {
+
+using namespace lemonspread;
+
+constexpr Time kMillisecond = 1000, kSecond = 1'000'000;
+constexpr Time kWatchEvery = 200 * kMillisecond;
+// A connection whose worker no longer answers must have moved within 7 s; clients speak every 2 s.
+constexpr Time kSilenceBound = 5 * kSecond;
+constexpr Time kMidLineBound = 700 * kMillisecond;  // a worker that stops inside a line holds no move up
+constexpr Time kDrainGrace = 150 * kMillisecond;    // of the 250 ms in which sends to a leaving worker end
+constexpr Time kHandoverAgain = 300 * kMillisecond;
+constexpr int kHandoverTries = 4;
+
+const char* const kOutcomeNames[] = {"served",         "error", "full",      "timeout",
+                                     "connect_failed", "reset", "cancelled", "not_sent"};
+
+}  // namespace
+
+Dispatcher::Dispatcher(const config::Startup& startup, const Clock& clock, Prober& prober, Registry& registry,
+                       metrics::Registry& metrics)
+    : settings_(startup.settings),
+      clock_(clock),
+      prober_(prober),
+      registry_(registry),
+      balancer_(startup.settings, startup.seed, clock.now()),
+      message_aim_(50 * kMillisecond),
+      taken_(metrics.counter("marblehub_calls_total", "Calls taken from clients")),
+      served_(metrics.counter("marblehub_answers_total", "Final answers to clients", {{"answer", "served"}})),
+      overloads_(
+          metrics.counter("marblehub_answers_total", "Final answers to clients", {{"answer", "overload"}})),
+      failed_(metrics.counter("marblehub_answers_total", "Final answers to clients", {{"answer", "failed"}})),
+      left_waiting_(
+          metrics.counter("marblehub_clients_left_total", "Clients that left before they were answered")),
+      late_(metrics.counter("marblehub_deadline_answers_total", "Calls answered only at their deadline")),
+      delegations_(metrics.counter("marblehub_delegations_total", "Delegations begun")),
+      moves_(metrics.counter("marblehub_moves_total", "Clients told to move")),
+      silent_moves_(
+          metrics.counter("marblehub_silent_moves_total", "Clients moved because their worker fell silent")),
+      probes_(metrics.counter("marblehub_probes_total", "Probes sent")),
+      lists_(metrics.counter("marblehub_registry_answers_total", "Lists and changes told by the registry")),
+      lists_refused_(metrics.counter("marblehub_registry_failures_total", "Registry calls that failed")),
+      held_back_(metrics.counter("marblehub_drain_stops_total",
+                                 "Delegations stopped because their worker had begun to leave")),
+      standing_gauge_(metrics.gauge("marblehub_connections", "Connections that stand")),
+      waiting_gauge_(metrics.gauge("marblehub_calls_waiting", "Calls not yet answered")),
+      down_gauge_(metrics.gauge("marblehub_workers_down", "Listed workers marked down")) {
+  for (const char* name : kOutcomeNames)
+    outcomes_.push_back(&metrics.counter("marblehub_delegation_results_total",
+                                         "How delegations ended, standing ones included",
+                                         {{"outcome", name}}));
+  for (const char* name : kOutcomeNames)
+    probe_outcomes_.push_back(
+        &metrics.counter("marblehub_probe_results_total", "How probes ended", {{"outcome", name}}));
+  Time aim = 0;
+  for (const RequestClass& c : settings_.classes)
+    if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
+  if (aim > 0) message_aim_ = aim;
+  timers_.push({now() + kWatchEvery, Due::watch});
+  for (const config::WorkerEntry& worker : startup.known.workers)
+    addresses_[worker.backend.address] = worker.address;
+  MembersEvent event;
+  event.form = ListForm::remembered;
+  auto entries = std::make_shared<std::vector<BackendEntry>>();
+  for (const config::WorkerEntry& worker : startup.known.workers) entries->push_back(worker.backend);
+  event.entries = std::move(entries);
+  tell(std::move(event));
+}
+
+Dispatcher::~Dispatcher() = default;
+
+int Dispatcher::class_named(std::string_view name) const {
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i)
+    if (settings_.classes[i].name == name) return static_cast<int>(i);
+  return -1;
+}
+
+std::string Dispatcher::address_of(const std::string& worker) const {
+  auto it = addresses_.find(worker);
+  return it == addresses_.end() ? "" : it->second;
+}
+
+// ---- Calls ---------------------------------------------------------------------------------------
+
+Exchange& Dispatcher::take(Call call, ClientSide& client, WorkerSide& workers) {
+  std::uint64_t id = next_id_++;
+  auto made = std::make_unique<Exchange>(*this, id, std::move(call), client, workers, now());
+  Exchange& exchange = *made;
+  calls_.emplace(id, std::move(made));
+  unanswered_ += 1;
+  taken_.add();
+  if (!exchange.call().handed_to.empty() && !address_of(exchange.call().handed_to).empty()) {
+    hand_over(exchange);
+    return exchange;
+  }
+  timers_.push({exchange.deadline_, Due::deadline, id});
+  const Call& c = exchange.call();
+  tell(RequestEvent{id, c.request_class, c.expires_in, c.load_hint, c.returned});
+  return exchange;
+}
+
+// A connection from before the start goes back to its own worker, whatever the module would choose.
+void Dispatcher::hand_over(Exchange& exchange) {
+  exchange.handed_tries_ += 1;
+  delegate(exchange, exchange.call().handed_to, 10 * kSecond);
+}
+
+void Dispatcher::handed_again(Exchange& exchange) {
+  if (exchange.state_ != Exchange::State::waiting || exchange.delegation_) return;
+  if (exchange.handed_tries_ < kHandoverTries) return hand_over(exchange);
+  answer(exchange, Answer::failed, 0, "");
+  close(exchange);
+}
+
+void Dispatcher::delegate(Exchange& exchange, const std::string& worker, Time wait) {
+  exchange.worker_ = worker;
+  exchange.sent_at_ = now();
+  int attempt = exchange.attempts_++;
+  delegations_.add();
+  timers_.push({now() + wait, Due::attempt, exchange.id_, attempt});
+  exchange.delegation_ = exchange.workers_.delegate(exchange, address_of(worker), wait);
+}
+
+void Dispatcher::submit(const Submit& action) {
+  Exchange* exchange = find(action.id);
+  if (!exchange || exchange->state_ != Exchange::State::waiting || exchange->delegation_) return;
+  delegate(*exchange, action.backend, std::max<Time>(kMillisecond, action.not_past - now()));
+}
+
+// A connect may take a while: by then the worker may have been told to drain. Nothing new is sent to it.
+bool Dispatcher::may_begin(const std::string& worker) const {
+  auto it = leaving_.find(worker);
+  bool may = it == leaving_.end() || clock_.now() - it->second < kDrainGrace;
+  if (!may) held_back_.add();
+  return may;
+}
+
+void Dispatcher::established(Exchange& exchange) {
+  served_.add();
+  unanswered_ -= 1;
+  int attempt = exchange.attempts_ - 1;
+  if (exchange.handed_tries_ > 0) {
+    exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
+    const Call& c = exchange.call();
+    tell(HandoverEvent{{exchange.id_, c.request_class, c.expires_in, c.load_hint, c.returned},
+                       exchange.worker_});
+    return;
+  }
+  tell(EstablishedEvent{exchange.id_, attempt, now() - exchange.sent_at_});
+}
+
+ResultEvent Dispatcher::result_of(const Exchange& exchange, Outcome outcome, const LoadReport& report,
+                                  bool terminal) const {
+  return {
+      exchange.id_, exchange.attempts_ - 1, terminal, exchange.worker_, now() - exchange.sent_at_, outcome,
+      report};
+}
+
+void Dispatcher::attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal) {
+  outcomes_[static_cast<std::size_t>(outcome)]->add();
+  if (exchange.handed_tries_ > 0 && exchange.state_ == Exchange::State::waiting) {
+    timers_.push({now() + kHandoverAgain, Due::again, exchange.id_});
+    return;
+  }
+  ResultEvent event = result_of(exchange, outcome, report, terminal);
+  if (terminal) close(exchange);
+  tell(std::move(event));
+}
+
+void Dispatcher::left(Exchange& exchange, bool stood) {
+  if (!stood) {
+    left_waiting_.add();
+    unanswered_ -= 1;
+  }
+  bool told_of = stood || exchange.handed_tries_ == 0;
+  ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
+  close(exchange);
+  if (!told_of) return;
+  if (!stood) tell(ClientGoneEvent{event.id});
+  if (event.attempt >= 0) tell(std::move(event));
+}
+
+void Dispatcher::redirected(Exchange& exchange) {
+  moves_.add();
+  ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
+  close(exchange);
+  tell(std::move(event));
+}
+
+// The one place where a call that has not been established gets its final answer.
+void Dispatcher::answer(Exchange& exchange, Answer answer, Time pause, std::string_view words) {
+  if (exchange.state_ != Exchange::State::waiting) return;
+  unanswered_ -= 1;
+  if (answer == Answer::overload) {
+    overloads_.add();
+    exchange.answer_overload(pause);
+  } else {
+    failed_.add();
+    exchange.answer_failed(words);
+  }
+}
+
+void Dispatcher::answer_and_close(Exchange& exchange, Answer kind, Time pause) {
+  bool out = exchange.delegation_ != nullptr;
+  ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
+  answer(exchange, kind, pause, "");
+  close(exchange);
+  if (out) tell(std::move(event));  // the module still waits for the word on that attempt
+}
+
+void Dispatcher::close(Exchange& exchange) {
+  auto it = calls_.find(exchange.id_);
+  if (it == calls_.end()) return;
+  ended_.push_back(std::move(it->second));
+  calls_.erase(it);
+}
+
+Exchange* Dispatcher::find(std::uint64_t id) {
+  auto it = calls_.find(id);
+  return it == calls_.end() ? nullptr : it->second.get();
+}
+
+// ---- Messages on standing connections --------------------------------------------------------------
+
+// The bench tells the module when messages take long; on sockets nobody does, so the time from a client's
+// line to the worker's answer is taken here: once a second for a worker that is slow, once more when it is
+// back.
+void Dispatcher::message_took(Exchange& exchange, Time delay) {
+  Pace& pace = paces_[exchange.worker_];
+  bool slow = delay * 3 > message_aim_;
+  if (slow ? now() - pace.noted_at < kSecond : !pace.slow) return;
+  pace.slow = slow;
+  pace.noted_at = now();
+  tell(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::messages_slow,
+                 static_cast<double>(delay) / kMillisecond});
+}
+
+void Dispatcher::load_changed(Exchange& exchange, double load) {
+  tell(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::load_changed, load});
+}
+
+void Dispatcher::watch_standing() {
+  std::vector<std::uint64_t> silent, stuck;
+  std::vector<std::pair<std::uint64_t, Time>> late;
+  Time at = now();
+  for (auto& [id, exchange] : calls_) {
+    if (exchange->state_ != Exchange::State::standing) continue;
+    if (exchange->moving_ && at - exchange->moving_since_ > kMidLineBound) stuck.push_back(id);
+    if (exchange->unanswered_.empty()) continue;
+    Time waited = at - exchange->unanswered_.front();
+    if (waited > kSilenceBound) {
+      silent.push_back(id);
+    } else if (waited > message_aim_) {
+      late.emplace_back(id, waited);
+    }
+  }
+  // What the module does on hearing of one may end others: no walk over the calls meanwhile.
+  for (auto [id, waited] : late)
+    if (Exchange* exchange = find(id)) message_took(*exchange, waited);
+  for (std::uint64_t id : silent)
+    if (Exchange* exchange = find(id)) {
+      silent_moves_.add();
+      exchange->redirect();
+    }
+  for (std::uint64_t id : stuck)
+    if (Exchange* exchange = find(id)) exchange->redirect_now();
+  Balancer::Counts counts = balancer_.counts();
+  standing_gauge_.set(static_cast<double>(standing()));
+  waiting_gauge_.set(static_cast<double>(unanswered_));
+  down_gauge_.set(static_cast<double>(counts.down));
+}
+
+// ---- Probes and lists --------------------------------------------------------------------------------
+
+void Dispatcher::probe_result(const std::string& worker, Time rtt, Outcome outcome,
+                              const LoadReport& report) {
+  probe_outcomes_[static_cast<std::size_t>(outcome)]->add();
+  tell(ProbeResultEvent{worker, rtt, outcome, report});
+}
+
+void Dispatcher::list_told(const config::WorkerList& list) {
+  lists_.add();
+  MembersEvent event;
+  event.form = list.snapshot ? ListForm::all : ListForm::changes;
+  auto entries = std::make_shared<std::vector<BackendEntry>>();
+  std::unordered_map<std::string, Time> still;
+  for (const config::WorkerEntry& worker : list.workers) {
+    const std::string& name = worker.backend.address;
+    if (!worker.address.empty()) addresses_[name] = worker.address;
+    if (worker.backend.health == Health::serving) {
+      leaving_.erase(name);
+    } else {
+      leaving_.try_emplace(name, now());
+    }
+    if (list.snapshot) still.emplace(name, 0);
+    entries->push_back(worker.backend);
+  }
+  if (list.snapshot)  // what a whole list does not name is gone
+    for (const auto& [name, address] : addresses_)
+      if (!still.count(name)) leaving_.try_emplace(name, now());
+  event.entries = std::move(entries);
+  tell(std::move(event));
+}
+
+void Dispatcher::list_refused() {
+  lists_refused_.add();
+  tell(MembersEvent{ListForm::refused, nullptr});
+}
+
+// ---- The module --------------------------------------------------------------------------------------
+
+void Dispatcher::tell(Event event) {
+  events_.push_back(std::move(event));
+  pump();
+}
+
+// An action may at once lead to further events; they wait their turn here instead of nesting.
+void Dispatcher::pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    Event event = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    balancer_.handle(now(), event, actions);
+    for (const Action& action : actions) act(action);
+  }
+  pumping_ = false;
+}
+
+void Dispatcher::act(const Action& action) {
+  if (auto* a = std::get_if<Submit>(&action)) {
+    submit(*a);
+  } else if (auto* a = std::get_if<Decline>(&action)) {
+    Exchange* exchange = find(a->id);
+    if (exchange && exchange->state_ == Exchange::State::waiting)
+      answer_and_close(*exchange, Answer::overload, a->pause);
+  } else if (auto* a = std::get_if<Surrender>(&action)) {
+    Exchange* exchange = find(a->id);
+    if (exchange && exchange->state_ == Exchange::State::waiting)
+      answer_and_close(*exchange, Answer::failed, 0);
+  } else if (auto* a = std::get_if<Redirect>(&action)) {
+    if (Exchange* exchange = find(a->id)) exchange->redirect();
+  } else if (auto* a = std::get_if<Probe>(&action)) {
+    probes_.add();
+    prober_.probe(a->backend, address_of(a->backend));
+  } else if (std::holds_alternative<Track>(action)) {
+    registry_.track();
+  } else if (auto* a = std::get_if<SetTimer>(&action)) {
+    timers_.push({now() + a->after, Due::module, a->cookie});
+  }
+}
+
+// ---- Time ----------------------------------------------------------------------------------------------
+
+Time Dispatcher::next_due() const { return timers_.empty() ? now() + kSecond : timers_.top().when; }
+
+void Dispatcher::advance() {
+  Time at = now();
+  while (!timers_.empty() && timers_.top().when <= at) {
+    Timer timer = timers_.top();
+    timers_.pop();
+    expire(timer);
+  }
+}
+
+void Dispatcher::expire(const Timer& timer) {
+  if (timer.due == Due::module) return tell(TimerEvent{timer.id});
+  if (timer.due == Due::watch) {
+    watch_standing();
+    timers_.push({now() + kWatchEvery, Due::watch});
+    return;
+  }
+  Exchange* exchange = find(timer.id);
+  if (!exchange) return;
+  if (timer.due == Due::move) return exchange->redirect();
+  if (exchange->state_ != Exchange::State::waiting) return;
+  if (timer.due == Due::again) return handed_again(*exchange);
+  if (timer.due == Due::attempt) {
+    if (!exchange->delegation_ || exchange->attempts_ - 1 != timer.attempt) return;
+    exchange->drop_delegation();  // first: no two delegations may be out at once
+    attempt_over(*exchange, Outcome::timeout, {}, false);
+    return;
+  }
+  // The module answers well before the deadline; should it ever not, the client is owed its answer still.
+  late_.add();
+  std::uint64_t id = exchange->id_;
+  answer_and_close(*exchange, Answer::overload, 0);
+  tell(ClientGoneEvent{id});
+}
+
+void Dispatcher::retire(Time span) {
+  std::vector<std::uint64_t> ids;
+  for (auto& [id, exchange] : calls_)
+    if (exchange->state_ == Exchange::State::standing) ids.push_back(id);
+  for (std::size_t i = 0; i < ids.size(); ++i)
+    timers_.push({now() + span * static_cast<Time>(i) / static_cast<Time>(ids.size()), Due::move, ids[i]});
+}
+
+}  // namespace marblehub::core
--- /dev/null
+++ b/src/core/dispatcher.h
@@ -0,0 +1,114 @@
+// Drives the decision module: turns what the fronts see into its events, carries out its actions, and keeps
+// every deadline. It owns the balancer, the calls and the timers.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/exchange.h"
+#include "core/ports.h"
+#include "metrics/registry.h"
+
+namespace marblehub::core {
+
+class Dispatcher {
+ public:
+  Dispatcher(const config::Startup& startup, const Clock& clock, Prober& prober, Registry& registry,
+             metrics::Registry& metrics);
+  ~Dispatcher();
+
+  Time now() const { return clock_.now(); }
+  int class_named(std::string_view name) const;  // -1: none
+  const lemonspread::Settings& settings() const { return settings_; }
+
+  // ---- From the fronts.
+  Exchange& take(Call call, ClientSide& client, WorkerSide& workers);
+  void probe_result(const std::string& worker, Time rtt, Outcome outcome, const LoadReport& report);
+  void list_told(const config::WorkerList& list);
+  void list_refused();
+
+  // ---- Time. next_due is the earliest moment at which advance has something to do.
+  Time next_due() const;
+  void advance();
+  void reap() { ended_.clear(); }  // what is over is freed here only, when no front is inside a call of it
+
+  // ---- A planned restart: every standing connection is told to move within `span`.
+  void retire(Time span);
+  std::size_t unanswered() const { return unanswered_; }
+  std::size_t standing() const { return calls_.size() - unanswered_; }
+
+  // The address at which this balancer reaches a worker; empty: unknown.
+  std::string address_of(const std::string& worker) const;
+  const std::unordered_map<std::string, std::string>& addresses() const { return addresses_; }
+
+ private:
+  friend class Exchange;
+  enum class Answer { overload, failed };
+  enum class Due { module, attempt, deadline, watch, move, again };
+  struct Timer {
+    Time when;
+    Due due;
+    std::uint64_t id = 0;
+    int attempt = 0;
+    bool operator>(const Timer& other) const { return when > other.when; }
+  };
+  struct Pace {  // how messages at one worker fare
+    Time noted_at = 0;
+    bool slow = false;
+  };
+
+  // From exchanges.
+  bool may_begin(const std::string& worker) const;
+  void established(Exchange& exchange);
+  void message_took(Exchange& exchange, Time delay);
+  void load_changed(Exchange& exchange, double load);
+  void attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal);
+  void left(Exchange& exchange, bool stood);
+  void redirected(Exchange& exchange);
+
+  void tell(lemonspread::Event event);
+  void pump();
+  void act(const lemonspread::Action& action);
+  void submit(const lemonspread::Submit& action);
+  void delegate(Exchange& exchange, const std::string& worker, Time wait);
+  void hand_over(Exchange& exchange);
+  void handed_again(Exchange& exchange);
+  void expire(const Timer& timer);
+  void watch_standing();
+  void answer(Exchange& exchange, Answer answer, Time pause, std::string_view words);
+  void answer_and_close(Exchange& exchange, Answer answer, Time pause);
+  lemonspread::ResultEvent result_of(const Exchange& exchange, Outcome outcome, const LoadReport& report,
+                                     bool terminal) const;
+  void close(Exchange& exchange);
+  Exchange* find(std::uint64_t id);
+
+  const lemonspread::Settings settings_;
+  const Clock& clock_;
+  Prober& prober_;
+  Registry& registry_;
+  lemonspread::Balancer balancer_;
+  std::unordered_map<std::string, std::string> addresses_;
+  std::unordered_map<std::string, Time> leaving_;  // workers told to drain or gone, and since when
+  std::map<std::uint64_t, std::unique_ptr<Exchange>> calls_;
+  std::vector<std::unique_ptr<Exchange>> ended_;
+  std::unordered_map<std::string, Pace> paces_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::deque<lemonspread::Event> events_;
+  std::uint64_t next_id_ = 1;
+  std::size_t unanswered_ = 0;
+  bool pumping_ = false;
+  Time message_aim_;
+
+  metrics::Metric &taken_, &served_, &overloads_, &failed_, &left_waiting_, &late_, &delegations_, &moves_,
+      &silent_moves_, &probes_, &lists_, &lists_refused_, &held_back_, &standing_gauge_, &waiting_gauge_,
+      &down_gauge_;
+  std::vector<metrics::Metric*> outcomes_, probe_outcomes_;
+};
+
+}  // namespace marblehub::core
--- /dev/null
+++ b/src/core/exchange.cpp
@@ -0,0 +1,125 @@
+#include "core/exchange.h"
+
+#include "core/dispatcher.h"
+
+namespace marblehub::core {
+namespace {
+
+constexpr std::size_t kMessagesTimed = 256;  // a client that floods is timed no further: the queue is bounded
+
+}  // namespace
+
+Exchange::Exchange(Dispatcher& dispatcher, std::uint64_t id, Call call, ClientSide& client,
+                   WorkerSide& workers, Time now)
+    : dispatcher_(dispatcher),
+      id_(id),
+      call_(std::move(call)),
+      client_(&client),
+      workers_(workers),
+      taken_at_(now),
+      deadline_(now + call_.expires_in) {}
+
+void Exchange::client_sent(const Piece& piece) {
+  if (state_ != State::standing || !delegation_) return;
+  for (int i = 0; i < piece.messages && unanswered_.size() < kMessagesTimed; ++i)
+    unanswered_.push_back(dispatcher_.now());
+  delegation_->deliver(piece.bytes);
+}
+
+void Exchange::client_left(Ending ending) {
+  client_ = nullptr;
+  if (state_ == State::over) return;
+  bool stood = state_ == State::standing;
+  state_ = State::over;
+  if (delegation_) {
+    delegation_->finish(ending);
+    drop_delegation();
+  }
+  dispatcher_.left(*this, stood);
+}
+
+void Exchange::client_full(bool on) {
+  if (delegation_) delegation_->hold(on);
+}
+
+bool Exchange::may_begin() const { return dispatcher_.may_begin(worker_); }
+
+void Exchange::worker_up(std::string_view receipt) {
+  if (state_ != State::waiting || !client_) return;
+  state_ = State::standing;
+  client_->established(receipt);
+  dispatcher_.established(*this);
+}
+
+void Exchange::worker_sent(const Piece& piece) {
+  if (state_ != State::standing || !client_) return;
+  client_between_ = piece.between;
+  client_->deliver(piece.bytes);
+  for (int i = 0; i < piece.messages && !unanswered_.empty(); ++i) {
+    Time delay = dispatcher_.now() - unanswered_.front();
+    unanswered_.pop_front();
+    dispatcher_.message_took(*this, delay);
+    if (state_ != State::standing) return;  // the module has moved this client on hearing it
+  }
+  if (moving_ && client_between_) redirect_now();
+}
+
+void Exchange::worker_load(double load) {
+  if (state_ == State::standing) dispatcher_.load_changed(*this, load);
+}
+
+void Exchange::worker_full(bool on) {
+  if (client_ && state_ == State::standing) client_->hold(on);
+}
+
+void Exchange::worker_ended(Outcome outcome, Ending ending, const LoadReport& report,
+                            std::string_view words) {
+  drop_delegation();
+  if (state_ == State::over) return;
+  if (state_ == State::standing) {
+    state_ = State::over;
+    if (client_) client_->ended(ending);
+    client_ = nullptr;
+    dispatcher_.attempt_over(*this, outcome, report, true);
+    return;
+  }
+  // A call that its worker has served to the end at once needs no second delegation.
+  bool terminal = outcome == Outcome::served;
+  if (terminal) dispatcher_.answer(*this, Dispatcher::Answer::failed, 0, words);
+  dispatcher_.attempt_over(*this, outcome, report, terminal);
+}
+
+void Exchange::answer_overload(Time pause) {
+  if (state_ != State::waiting) return;  // guards against a second answer
+  state_ = State::over;
+  drop_delegation();
+  if (client_) client_->overload_reply(pause);
+  client_ = nullptr;
+}
+
+void Exchange::answer_failed(std::string_view words) {
+  if (state_ != State::waiting) return;
+  state_ = State::over;
+  drop_delegation();
+  if (client_) client_->failed(words);
+  client_ = nullptr;
+}
+
+// A client is told to move between two messages only: a MOVE inside a line would be part of that line.
+void Exchange::redirect() {
+  if (state_ != State::standing || moving_) return;
+  if (client_between_) return redirect_now();
+  moving_ = true;
+  moving_since_ = dispatcher_.now();
+}
+
+void Exchange::redirect_now() {
+  state_ = State::over;
+  if (client_) client_->redirect();
+  client_ = nullptr;
+  if (delegation_) delegation_->finish(Ending::finished);
+  drop_delegation();
+  dispatcher_.redirected(*this);
+}
+
+}  // namespace marblehub::core
--- /dev/null
+++ b/src/core/exchange.h
@@ -0,0 +1,72 @@
+// The one object where the client's side and the worker's side of a call meet. It sees to it that the client
+// gets exactly one answer and that no two delegations are out at once.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "core/ports.h"
+
+namespace marblehub::core {
+
+class Dispatcher;
+
+struct Call {
+  int request_class = 0;
+  Time expires_in = 0;
+  double load_hint = 0;
+  bool returned = false;
+  std::string opening;    // what the client began with; the front's own
+  std::string handed_to;  // the worker that holds it since before the start; else empty
+};
+
+class Exchange {
+ public:
+  Exchange(Dispatcher& dispatcher, std::uint64_t id, Call call, ClientSide& client, WorkerSide& workers,
+           Time now);
+
+  const Call& call() const { return call_; }
+
+  // ---- From the client's side. After client_left the exchange calls it no more.
+  void client_sent(const Piece& piece);
+  void client_left(Ending ending);
+  void client_full(bool on);  // the client takes no more for now
+
+  // ---- From the worker's side.
+  bool may_begin() const;  // whether the worker may still be sent something new
+  void worker_up(std::string_view receipt);
+  void worker_sent(const Piece& piece);
+  void worker_load(double load);
+  void worker_full(bool on);
+  void worker_ended(Outcome outcome, Ending ending, const LoadReport& report = {},
+                    std::string_view words = {});
+
+ private:
+  friend class Dispatcher;
+  enum class State { waiting, standing, over };
+
+  void answer_overload(Time pause);
+  void answer_failed(std::string_view words);
+  void redirect();
+  void redirect_now();
+  void drop_delegation() { delegation_.reset(); }
+
+  Dispatcher& dispatcher_;
+  const std::uint64_t id_;
+  const Call call_;
+  ClientSide* client_;  // none once it has left or the exchange is over
+  WorkerSide& workers_;
+  std::unique_ptr<Delegation> delegation_;
+  State state_ = State::waiting;
+  int attempts_ = 0;
+  int handed_tries_ = 0;
+  std::string worker_;  // of the latest delegation
+  Time taken_at_, sent_at_ = 0, deadline_;
+  bool moving_ = false;  // to be told to move as soon as the stream stands between two messages
+  bool client_between_ = true;
+  Time moving_since_ = 0;
+  std::deque<Time> unanswered_;  // when each message of the client went to the worker
+};
+
+}  // namespace marblehub::core
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,78 @@
+// What the core asks of the world round it. A front implements the client's and the worker's side of a call;
+// the core knows neither descriptors nor wires nor the event loop.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "config/json.h"
+#include "lemonspread/lemonspread.h"
+
+namespace marblehub::core {
+
+using lemonspread::LoadReport;
+using lemonspread::Outcome;
+using lemonspread::Time;
+
+class Exchange;
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Time now() const = 0;  // Unix time in microseconds that never goes back
+};
+
+// How a side ended its part: in order, or by breaking off. Passed on as it came.
+enum class Ending { finished, broken };
+
+// Part of what one side sends the other while a connection stands.
+struct Piece {
+  std::string_view bytes;
+  int messages = 0;     // whole messages that end in it
+  bool between = true;  // after it the stream stands between two messages
+};
+
+class ClientSide {
+ public:
+  virtual ~ClientSide() = default;
+  // The answer: exactly one of these three is called for a call whose client still waits.
+  virtual void established(std::string_view receipt) = 0;
+  virtual void overload_reply(Time pause) = 0;
+  virtual void failed(std::string_view words) = 0;  // the worker's own words, if it had any
+  // While the connection stands.
+  virtual void deliver(std::string_view bytes) = 0;
+  virtual void hold(bool on) = 0;         // the worker takes no more for now
+  virtual void redirect() = 0;            // tell the client to come again, and end
+  virtual void ended(Ending ending) = 0;  // the worker's side has ended
+};
+
+// One delegation: the call is out at one worker. Destroying it gives the delegation up.
+class Delegation {
+ public:
+  virtual ~Delegation() = default;
+  virtual void deliver(std::string_view bytes) = 0;
+  virtual void hold(bool on) = 0;
+  virtual void finish(Ending ending) = 0;  // the client's side has ended; destroyed right after
+};
+
+class WorkerSide {
+ public:
+  virtual ~WorkerSide() = default;
+  // Begins a delegation. What comes of it is told to the exchange, never from within this call.
+  virtual std::unique_ptr<Delegation> delegate(Exchange& exchange, const std::string& address, Time wait) = 0;
+};
+
+class Prober {
+ public:
+  virtual ~Prober() = default;
+  virtual void probe(const std::string& worker, const std::string& address) = 0;
+};
+
+class Registry {
+ public:
+  virtual ~Registry() = default;
+  virtual void track() = 0;
+};
+
+}  // namespace marblehub::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,125 @@
+// marblehub: wires the core, its fronts and its watchers together and runs them.
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+#include "core/dispatcher.h"
+#include "log/log.h"
+#include "metrics/registry.h"
+#include "net/client_side.h"
+#include "net/loop.h"
+#include "net/registry_watch.h"
+#include "net/worker_side.h"
+
+namespace marblehub {
+namespace {
+
+using core::Time;
+
+// A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
+constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
+
+std::string read_file(const char* path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(std::string("cannot read ") + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+class Program {
+ public:
+  explicit Program(config::Startup startup)
+      : startup_(std::move(startup)),
+        probes_(loop_, startup_.settings.connect_timeout_us),
+        registry_(loop_, startup_.registry, startup_.known.index),
+        dispatcher_(startup_, loop_, probes_, registry_, metrics_),
+        workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
+        listener_(loop_, dispatcher_, workers_, address(), metrics_),
+        retire_tick_(loop_, [this] { retire_step(); }),
+        term_(loop_, SIGTERM, [this] { retire(); }),
+        interrupt_(loop_, SIGINT, [this] { retire(); }),
+        print_(loop_, SIGUSR1, [this] { print(); }) {
+    probes_.on_result(
+        [this](const std::string& worker, Time rtt, core::Outcome outcome, const core::LoadReport& report) {
+          dispatcher_.probe_result(worker, rtt, outcome, report);
+        });
+    registry_.on_news({[this](const config::WorkerList& list) { dispatcher_.list_told(list); },
+                       [this] { dispatcher_.list_refused(); }});
+  }
+
+  void run() {
+    loop_.before_wait([this] {
+      dispatcher_.advance();
+      dispatcher_.reap();
+      return dispatcher_.next_due() - loop_.now();
+    });
+    log::info("{} listens on {}", startup_.name, startup_.listen);
+    loop_.run();
+    print();
+  }
+
+ private:
+  sockaddr_in address() const {
+    auto parsed = net::parse_address(startup_.listen);
+    if (!parsed) throw std::runtime_error("listen: expected an address a.b.c.d:port");
+    return *parsed;
+  }
+
+  void print() { std::cerr << metrics::exposition(metrics_) << std::flush; }
+
+  void retire() {
+    if (retiring_since_ > 0) return;
+    log::info("{} retires with {} connections", startup_.name, dispatcher_.standing());
+    retiring_since_ = loop_.now();
+    retire_tick_.start(kTick);
+  }
+
+  void retire_step() {
+    Time since = loop_.now() - retiring_since_;
+    if (since >= kStillComing && !moving_) {
+      moving_ = true;
+      listener_.close();
+      dispatcher_.retire(kMoveSpan);
+    }
+    if (moving_ && since > kStillComing + kMoveSpan) dispatcher_.retire(0);  // those that were set up since
+    bool empty = moving_ && dispatcher_.standing() == 0 && dispatcher_.unanswered() == 0;
+    if (empty && last_seen_empty_ == 0) last_seen_empty_ = since;
+    if (since > kLastMoment || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
+    retire_tick_.start(kTick);
+  }
+
+  config::Startup startup_;
+  metrics::Registry metrics_;
+  net::Loop loop_;
+  net::Probes probes_;
+  net::RegistryWatch registry_;
+  core::Dispatcher dispatcher_;
+  net::WorkerSide workers_;
+  net::Listener listener_;
+  net::TimerWatch retire_tick_;
+  net::SignalWatch term_, interrupt_, print_;
+  Time retiring_since_ = 0, last_seen_empty_ = 0;
+  bool moving_ = false;
+};
+
+}  // namespace
+}  // namespace marblehub
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    const char* path = std::getenv("BALANCER_CONFIG");
+    if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
+    marblehub::config::Startup startup = marblehub::config::startup_from(marblehub::read_file(path));
+    marblehub::Program(std::move(startup)).run();
+  } catch (const std::exception& error) {
+    std::cerr << "marblehub: " << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/net/client_side.h
@@ -0,0 +1,85 @@
+// The platform's clients: the listener and one link for each client.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "core/dispatcher.h"
+#include "net/lines.h"
+#include "net/stream.h"
+
+namespace marblehub::net {
+
+class ClientLink;
+
+class Listener {
+ public:
+  Listener(Loop& loop, core::Dispatcher& dispatcher, core::WorkerSide& workers, const sockaddr_in& address,
+           metrics::Registry& metrics);
+  ~Listener();
+
+  void close();  // takes what has come, then no more
+  std::size_t links() const { return links_.size(); }
+
+ private:
+  friend class ClientLink;
+  void accept_all();
+  void remove(ClientLink& link);
+
+  Loop& loop_;
+  core::Dispatcher& dispatcher_;
+  core::WorkerSide& workers_;
+  Fd fd_;
+  IoWatch io_;
+  TimerWatch pause_;
+  std::list<std::unique_ptr<ClientLink>> links_;
+  metrics::Metric &accepted_, &full_, &malformed_, &pings_, &bytes_in_, &bytes_out_;
+};
+
+class ClientLink final : public core::ClientSide {
+ public:
+  ClientLink(Listener& listener, Loop& loop, Fd fd);
+  ~ClientLink() override;
+
+  // From the exchange.
+  void established(std::string_view receipt) override;
+  void overload_reply(Time pause) override;
+  void failed(std::string_view words) override;
+  void deliver(std::string_view bytes) override;
+  void hold(bool on) override;
+  void redirect() override;
+  void ended(Ending ending) override;
+
+  // From the socket.
+  void received(std::string_view bytes);
+  void drained();
+  void ended_by_peer(Ending ending);
+
+ private:
+  friend class Listener;
+  // Stream::Handler and core::ClientSide both tell of an ending; the stream's comes through this.
+  struct FromStream final : Stream::Handler {
+    explicit FromStream(ClientLink& l) : link(l) {}
+    void received(std::string_view bytes) override { link.received(bytes); }
+    void drained() override { link.drained(); }
+    void ended(Ending ending) override { link.ended_by_peer(ending); }
+    ClientLink& link;
+  };
+
+  void first_lines();
+  void forward(std::string_view bytes);
+  void say_and_close(std::string_view line);
+  void close(Ending ending);
+
+  Listener& listener_;
+  FromStream from_stream_;
+  std::unique_ptr<Stream> stream_;
+  core::Exchange* exchange_ = nullptr;
+  bool asked_ = false, standing_ = false, held_ = false, full_told_ = false;
+  std::string in_;  // what has come and is not passed on yet
+  LineWatch lines_;
+  std::list<std::unique_ptr<ClientLink>>::iterator place_;
+};
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/lines.cpp
@@ -0,0 +1,90 @@
+#include "net/lines.h"
+
+#include <algorithm>
+
+#include "config/options.h"
+
+namespace marblehub::net {
+namespace {
+
+constexpr std::size_t kHead = 64;
+
+// Begin and length of the value of name=value; fields are set apart by commas, and by spaces from the rest.
+std::optional<std::pair<std::size_t, std::size_t>> find_field(std::string_view line, std::string_view name) {
+  std::size_t at = line.rfind(' ');
+  if (at == std::string_view::npos) return std::nullopt;
+  for (at += 1; at < line.size();) {
+    std::size_t end = std::min(line.find(',', at), line.size());
+    std::string_view pair = line.substr(at, end - at);
+    if (pair.size() > name.size() && pair.starts_with(name) && pair[name.size()] == '=')
+      return std::pair(at + name.size() + 1, pair.size() - name.size() - 1);
+    at = end + 1;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> take_line(std::string& buffer) {
+  std::size_t end = buffer.find('\n');
+  if (end == std::string::npos) return std::nullopt;
+  std::string line = buffer.substr(0, end > 0 && buffer[end - 1] == '\r' ? end - 1 : end);
+  buffer.erase(0, end + 1);
+  return line;
+}
+
+std::string_view verb_of(std::string_view line) {
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+  return line.substr(0, line.find(' '));
+}
+
+std::optional<std::string_view> field(std::string_view line, std::string_view name) {
+  auto at = find_field(line, name);
+  if (!at) return std::nullopt;
+  return line.substr(at->first, at->second);
+}
+
+std::string with_field(std::string_view line, std::string_view name, std::string_view value) {
+  std::string out(line);
+  if (auto at = find_field(line, name)) out.replace(at->first, at->second, value);
+  return out;
+}
+
+bool is_open_line(std::string_view line) {
+  if (!line.starts_with("OPEN ")) return false;
+  int parts = 0;
+  for (std::size_t at = 5; at <= line.size(); ++parts) {
+    std::size_t end = std::min(line.find(' ', at), line.size());
+    if (end == at) return false;
+    at = end + 1;
+  }
+  return parts == 2 || parts == 3;
+}
+
+core::LoadReport report_in(std::string_view line) {
+  core::LoadReport report;
+  auto figure = [&](std::string_view name) -> double {
+    auto text = field(line, name);
+    auto value = text ? config::number_in<double>(*text) : std::nullopt;
+    return value && *value >= 0 ? *value : -1;
+  };
+  report.load = figure("x0");
+  if (report.load < 0) report.load = figure("util");
+  if (report.load < 0) report.load = figure("cpu");
+  return report;
+}
+
+LineWatch::Part LineWatch::next(std::string_view bytes) {
+  std::size_t end = bytes.find('\n');
+  bool ended = end != std::string_view::npos;
+  std::size_t length = ended ? end + 1 : bytes.size();
+  if (head_.size() < kHead) head_.append(bytes.substr(0, std::min(length, kHead - head_.size())));
+  length_ += length;
+  if (ended) {
+    last_ = std::exchange(head_, {});
+    length_ = 0;
+  }
+  return {length, ended};
+}
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/lines.h
@@ -0,0 +1,50 @@
+// The platform's protocol: lines that end with CRLF, at most 4 KiB long.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/ports.h"
+
+namespace marblehub::net {
+
+constexpr std::size_t kLongestLine = 4096;  // with its CRLF
+
+// Takes the next whole line out of a buffer, without its end; none if no line is whole yet.
+std::optional<std::string> take_line(std::string& buffer);
+
+std::string_view verb_of(std::string_view line);
+
+// The value of `name` in "VERB id key a=1,b=2" or "PONG a=1,b=2"; none if it is not there.
+std::optional<std::string_view> field(std::string_view line, std::string_view name);
+
+// The line with the value of `name` replaced; unchanged where it has none.
+std::string with_field(std::string_view line, std::string_view name, std::string_view value);
+
+// OPEN id key [fields]: whether a client's first line has the form that workers accept.
+bool is_open_line(std::string_view line);
+
+// The load at the end of an answer, in the registry's field names.
+core::LoadReport report_in(std::string_view line);
+
+// Follows the lines of a stream that passes through, however it is cut into pieces.
+class LineWatch {
+ public:
+  // What up to and including the next line end (or all of `bytes`) is: its length, and whether a line ended.
+  struct Part {
+    std::size_t length;
+    bool ended;
+  };
+  Part next(std::string_view bytes);
+  bool between() const { return length_ == 0; }
+  // The beginning of the line that has just ended: enough for its verb and a figure.
+  const std::string& last() const { return last_; }
+
+ private:
+  std::string head_, last_;
+  std::size_t length_ = 0;
+};
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,78 @@
+#include "net/loop.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+namespace marblehub::net {
+namespace {
+
+Time steady() {
+  using namespace std::chrono;
+  return duration_cast<microseconds>(steady_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+Fd& Fd::operator=(Fd&& other) noexcept {
+  if (this != &other) {
+    reset();
+    fd_ = std::exchange(other.fd_, -1);
+  }
+  return *this;
+}
+
+void Fd::reset() {
+  if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+}
+
+Loop::Loop() : loop_(ev_default_loop(EVFLAG_AUTO)) {
+  if (!loop_) throw std::runtime_error("no event loop can be made here");
+  using namespace std::chrono;
+  offset_ = duration_cast<microseconds>(system_clock::now().time_since_epoch()).count() - steady();
+  ev_prepare_init(&prepare_, prepare);
+  prepare_.data = this;
+  ev_prepare_start(loop_, &prepare_);
+  ev_init(&wake_, [](struct ev_loop*, ev_timer*, int) {});
+}
+
+Loop::~Loop() {
+  ev_prepare_stop(loop_, &prepare_);
+  ev_timer_stop(loop_, &wake_);
+  while (!buried_.empty()) std::exchange(buried_, {}).clear();
+  ev_loop_destroy(loop_);
+}
+
+Time Loop::now() const { return steady() + offset_; }
+void Loop::run() { ev_run(loop_, 0); }
+void Loop::stop() { ev_break(loop_, EVBREAK_ALL); }
+
+void Loop::prepare(struct ev_loop* loop, ev_prepare* watcher, int) {
+  Loop& self = *static_cast<Loop*>(watcher->data);
+  while (!self.buried_.empty()) std::exchange(self.buried_, {}).clear();
+  if (!self.hook_) return;
+  Time sleep = std::max<Time>(0, self.hook_());
+  ev_timer_stop(loop, &self.wake_);
+  ev_now_update(loop);
+  ev_timer_set(&self.wake_, static_cast<double>(sleep) / 1e6, 0);
+  ev_timer_start(loop, &self.wake_);
+}
+
+void IoWatch::start(int fd, int events) {
+  stop();
+  if (events == 0) return;
+  ev_io_set(&watcher_, fd, events);
+  ev_io_start(loop_.raw(), &watcher_);
+}
+
+void TimerWatch::start(Time after) {
+  stop();
+  ev_now_update(loop_.raw());
+  ev_timer_set(&watcher_, static_cast<double>(std::max<Time>(0, after)) / 1e6, 0);
+  ev_timer_start(loop_.raw(), &watcher_);
+}
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,115 @@
+// libev under RAII: the loop, its watchers, and descriptors. A watcher stops when it goes.
+#pragma once
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "core/ports.h"
+
+namespace marblehub::net {
+
+using core::Time;
+
+class Fd {
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept;
+  ~Fd() { reset(); }
+  void reset();
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_;
+};
+
+// The loop is also the clock: the system's time at start, carried on by the steady clock.
+class Loop final : public core::Clock {
+ public:
+  Loop();
+  ~Loop() override;
+  Loop(const Loop&) = delete;
+
+  Time now() const override;
+  void run();
+  void stop();
+  // Called before each wait; returns how long the loop may sleep.
+  void before_wait(std::function<Time()> hook) { hook_ = std::move(hook); }
+  // Keeps an object until no callback of it can be running: it is freed before the next wait.
+  void bury(std::shared_ptr<void> object) { buried_.push_back(std::move(object)); }
+  struct ev_loop* raw() {
+    return loop_;
+  }
+
+ private:
+  static void prepare(struct ev_loop*, ev_prepare* watcher, int);
+
+  struct ev_loop* loop_;
+  ev_prepare prepare_;
+  ev_timer wake_;
+  Time offset_ = 0;
+  std::function<Time()> hook_;
+  std::vector<std::shared_ptr<void>> buried_;
+};
+
+// One watcher of libev with a function to call. W is ev_io, ev_timer or ev_signal.
+class IoWatch {
+ public:
+  IoWatch(Loop& loop, std::function<void(int)> call) : loop_(loop), call_(std::move(call)) {
+    ev_init(&watcher_,
+            [](struct ev_loop*, ev_io* w, int events) { static_cast<IoWatch*>(w->data)->call_(events); });
+    watcher_.data = this;
+  }
+  ~IoWatch() { stop(); }
+  IoWatch(const IoWatch&) = delete;
+  void start(int fd, int events);
+  void stop() { ev_io_stop(loop_.raw(), &watcher_); }
+  void feed(int events) { ev_feed_event(loop_.raw(), &watcher_, events); }
+
+ private:
+  Loop& loop_;
+  std::function<void(int)> call_;
+  ev_io watcher_;
+};
+
+class TimerWatch {
+ public:
+  TimerWatch(Loop& loop, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
+    ev_init(&watcher_, [](struct ev_loop*, ev_timer* w, int) { static_cast<TimerWatch*>(w->data)->call_(); });
+    watcher_.data = this;
+  }
+  ~TimerWatch() { stop(); }
+  TimerWatch(const TimerWatch&) = delete;
+  void start(Time after);
+  void stop() { ev_timer_stop(loop_.raw(), &watcher_); }
+  bool active() const { return ev_is_active(&watcher_); }
+
+ private:
+  Loop& loop_;
+  std::function<void()> call_;
+  ev_timer watcher_;
+};
+
+class SignalWatch {
+ public:
+  SignalWatch(Loop& loop, int number, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
+    ev_signal_init(
+        &watcher_, [](struct ev_loop*, ev_signal* w, int) { static_cast<SignalWatch*>(w->data)->call_(); },
+        number);
+    watcher_.data = this;
+    ev_signal_start(loop_.raw(), &watcher_);
+  }
+  ~SignalWatch() { ev_signal_stop(loop_.raw(), &watcher_); }
+  SignalWatch(const SignalWatch&) = delete;
+
+ private:
+  Loop& loop_;
+  std::function<void()> call_;
+  ev_signal watcher_;
+};
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/registry_watch.cpp
@@ -0,0 +1,122 @@
+#include "net/registry_watch.h"
+
+#include <fmt/format.h>
+
+#include "log/log.h"
+
+namespace marblehub::net {
+namespace {
+
+// News counts as told 2 s after a watch's wait is over at the latest: a short wait finds a silent registry
+// soon.
+constexpr Time kHold = 8'000'000;
+constexpr Time kPatience = kHold + 1'500'000;
+constexpr std::size_t kLongestBody = 8 * 1024 * 1024;
+
+const http_parser_settings& callbacks() {
+  static const http_parser_settings made = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_body = [](http_parser* p, const char* at, std::size_t size) {
+      auto& body = *static_cast<std::string*>(p->data);
+      if (body.size() + size > kLongestBody) return 1;
+      body.append(at, size);
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      http_parser_pause(p, 1);
+      return 0;
+    };
+    return s;
+  }();
+  return made;
+}
+
+}  // namespace
+
+RegistryWatch::RegistryWatch(Loop& loop, std::string address, std::int64_t index)
+    : loop_(loop),
+      address_(std::move(address)),
+      index_(index),
+      patience_(loop, [this] { fail("no answer in time"); }),
+      next_(loop, [this] { call(); }) {}
+
+RegistryWatch::~RegistryWatch() { close(); }
+
+void RegistryWatch::close() {
+  patience_.stop();
+  next_.stop();
+  out_ = true;  // no further call
+  Stream::reset(std::move(stream_));
+}
+
+void RegistryWatch::track() {
+  if (out_ || next_.active()) return;  // one call out at a time
+  first_ = true;
+  next_.start(0);
+}
+
+void RegistryWatch::call() {
+  if (out_) return;
+  out_ = true;
+  body_.clear();
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = &body_;
+  patience_.start(kPatience);
+  if (stream_) return connected();
+  auto to = parse_address(address_);
+  if (!to) return fail("no address");
+  stream_ = std::make_unique<Stream>(loop_, *this);
+  stream_->connect(*to);
+}
+
+void RegistryWatch::connected() {
+  std::string query = index_ > 0 ? fmt::format("?from={}&hold_ms={}", index_, kHold / 1000) : "";
+  stream_->write(fmt::format(
+      "GET /registry/instances{} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", query, address_));
+}
+
+void RegistryWatch::received(std::string_view bytes) {
+  if (!out_) return;
+  std::size_t used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) return complete();
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != bytes.size()) fail("not HTTP");
+}
+
+void RegistryWatch::ended(Ending) {
+  if (out_ && stream_) {  // a body may end with its connection
+    http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED && parser_.status_code == 200) return complete();
+  }
+  if (out_) return fail("the connection ended");
+  Stream::reset(std::move(stream_));
+}
+
+void RegistryWatch::complete() {
+  if (parser_.status_code != 200) return fail("not 200");
+  config::WorkerList list;
+  try {
+    list = config::list_from(config::flatten(body_, "registry: "));
+  } catch (const config::DecodeError& error) {
+    log::warning("{}", error.what());
+    return fail("a list that cannot be read");
+  }
+  out_ = false;
+  patience_.stop();
+  http_parser_pause(&parser_, 0);
+  if (!http_should_keep_alive(&parser_)) Stream::reset(std::move(stream_));
+  index_ = list.index;
+  next_.start(0);  // a watch goes on only if the next call comes within 200 ms
+  if (std::exchange(first_, false) || list.snapshot || !list.workers.empty()) handler_.told(list);
+}
+
+void RegistryWatch::fail(const char* why) {
+  log::info("registry call failed: {}", why);
+  out_ = false;
+  patience_.stop();
+  next_.stop();
+  Stream::reset(std::move(stream_));
+  handler_.refused();
+}
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/registry_watch.h
@@ -0,0 +1,48 @@
+// The registry, asked over HTTP/1.1: one call out at a time, and the next watch right after an answer.
+#pragma once
+
+#include <http_parser.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/ports.h"
+#include "net/stream.h"
+
+namespace marblehub::net {
+
+class RegistryWatch final : public core::Registry, public Stream::Handler {
+ public:
+  struct Handler {
+    std::function<void(const config::WorkerList&)> told;
+    std::function<void()> refused;
+  };
+  RegistryWatch(Loop& loop, std::string address, std::int64_t index);
+  ~RegistryWatch() override;
+  void on_news(Handler handler) { handler_ = std::move(handler); }
+  void close();
+
+  void track() override;
+
+  void connected() override;
+  void received(std::string_view bytes) override;
+  void ended(Ending ending) override;
+
+ private:
+  void call();
+  void complete();
+  void fail(const char* why);
+
+  Loop& loop_;
+  const std::string address_;
+  std::int64_t index_;
+  Handler handler_;
+  std::unique_ptr<Stream> stream_;
+  TimerWatch patience_, next_;
+  http_parser parser_;
+  std::string body_;
+  bool out_ = false, complete_ = false, first_ = true;
+};
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,195 @@
+#include "net/stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+#include "config/options.h"
+
+namespace marblehub::net {
+namespace {
+
+constexpr std::size_t kReadAtOnce = 16 * 1024;
+constexpr Time kLinger = 1'000'000;
+
+}  // namespace
+
+std::optional<sockaddr_in> parse_address(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::optional<std::uint16_t> port = config::number_in<std::uint16_t>(text.substr(colon + 1));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  if (!port || inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address.sin_addr) != 1)
+    return std::nullopt;
+  address.sin_port = htons(*port);
+  return address;
+}
+
+Stream::Stream(Loop& loop, Handler& handler)
+    : loop_(loop),
+      handler_(&handler),
+      io_(loop, [this](int events) { on_io(events); }),
+      linger_(loop, [this] { release(); }) {}
+
+void Stream::adopt(Fd fd) {
+  fd_ = std::move(fd);
+  int on = 1;
+  setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  state_ = State::open;
+  watch();
+}
+
+void Stream::connect(const sockaddr_in& to) {
+  fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  state_ = State::connecting;
+  if (!fd_) {
+    broken_ = true;
+    io_.feed(EV_WRITE);
+    return;
+  }
+  int on = 1;
+  setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
+    broken_ = true;
+    io_.feed(EV_WRITE);
+    return;
+  }
+  watch();
+}
+
+void Stream::write(std::string_view bytes) {
+  if (broken_ || state_ == State::closed || shut_) return;
+  out_.append(bytes);
+  if (state_ == State::open) flush();
+}
+
+void Stream::flush() {
+  while (sent_ < out_.size()) {
+    ssize_t n = ::send(fd_.get(), out_.data() + sent_, out_.size() - sent_, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    if (n < 0) {  // the writer is inside its own call: the loop tells it
+      broken_ = true;
+      out_.clear();
+      sent_ = 0;
+      io_.feed(EV_READ);
+      return;
+    }
+    sent_ += static_cast<std::size_t>(n);
+  }
+  if (sent_ == out_.size()) {
+    out_.clear();
+    sent_ = 0;
+  } else if (sent_ > 64 * 1024) {
+    out_.erase(0, sent_);
+    sent_ = 0;
+  }
+  if (!out_.empty()) wrote_all_ = false;
+  watch();
+}
+
+void Stream::read_on(bool on) {
+  reading_ = on;
+  if (state_ == State::open) watch();
+}
+
+void Stream::watch() {
+  if (broken_) return;  // starting the watcher again would lose the event that tells of it
+  if (state_ == State::connecting) return io_.start(fd_.get(), EV_WRITE);
+  if (state_ != State::open) return;
+  io_.start(fd_.get(), (reading_ ? EV_READ : 0) | (out_.empty() ? 0 : EV_WRITE));
+}
+
+void Stream::fail(Ending ending) {
+  if (self_ && ending == Ending::finished && !out_.empty()) {  // it sends no more but may still read
+    reading_ = false;
+    return watch();
+  }
+  state_ = State::closed;
+  io_.stop();
+  if (self_) return release();
+  if (handler_) handler_->ended(ending);
+}
+
+void Stream::on_io(int events) {
+  if (state_ == State::closed) return;
+  if (broken_) return fail(Ending::broken);
+  if (state_ == State::connecting) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return fail(Ending::broken);
+    state_ = State::open;
+    flush();
+    if (handler_) handler_->connected();
+    return;
+  }
+  if (events & EV_WRITE) {
+    flush();
+    if (out_.empty() && !wrote_all_) {
+      wrote_all_ = true;
+      if (self_) {
+        settle();
+      } else if (handler_) {
+        handler_->drained();
+      }
+    }
+  }
+  if (!(events & EV_READ) || state_ != State::open) return;
+  char buffer[kReadAtOnce];
+  ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+  if (n < 0) return fail(Ending::broken);
+  if (n == 0) return fail(Ending::finished);
+  if (handler_) handler_->received(std::string_view(buffer, static_cast<std::size_t>(n)));
+}
+
+void Stream::settle() {
+  if (shut_ || !out_.empty()) return;
+  shut_ = true;
+  ::shutdown(fd_.get(), SHUT_WR);
+}
+
+void Stream::finish(std::unique_ptr<Stream> stream) {
+  if (!stream) return;
+  Stream& s = *stream;
+  s.handler_ = nullptr;
+  if (s.state_ != State::open || s.broken_) {
+    s.io_.stop();
+    s.state_ = State::closed;
+    s.fd_.reset();
+    s.loop_.bury(std::shared_ptr<Stream>(std::move(stream)));
+    return;
+  }
+  s.self_ = std::shared_ptr<Stream>(std::move(stream));
+  s.reading_ = true;
+  s.watch();
+  s.settle();
+  s.linger_.start(kLinger);
+}
+
+void Stream::reset(std::unique_ptr<Stream> stream) {
+  if (!stream) return;
+  linger hard{1, 0};
+  if (stream->fd_) setsockopt(stream->fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  stream->handler_ = nullptr;
+  stream->state_ = State::closed;
+  stream->io_.stop();
+  stream->fd_.reset();
+  Loop& loop = stream->loop_;
+  loop.bury(std::shared_ptr<Stream>(std::move(stream)));
+}
+
+void Stream::release() {
+  state_ = State::closed;
+  io_.stop();
+  linger_.stop();
+  fd_.reset();
+  loop_.bury(std::exchange(self_, nullptr));
+}
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,67 @@
+// A TCP connection that never blocks: what is written is kept until the peer takes it, and it ends in order
+// or by a reset, as asked. It is never told of anything from within its own calls.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/loop.h"
+
+namespace marblehub::net {
+
+using core::Ending;
+
+std::optional<sockaddr_in> parse_address(std::string_view text);  // a.b.c.d:port
+
+class Stream {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void connected() {}
+    virtual void received(std::string_view bytes) = 0;
+    virtual void drained() {}               // after a write did not go out at once
+    virtual void ended(Ending ending) = 0;  // the peer's side, or a connect that failed
+  };
+
+  Stream(Loop& loop, Handler& handler);
+  ~Stream() = default;
+
+  void adopt(Fd fd);
+  void connect(const sockaddr_in& to);  // a failure is told as an ending
+  void write(std::string_view bytes);
+  void read_on(bool on);
+  std::size_t backlog() const { return out_.size() - sent_; }
+  bool is_connected() const { return state_ == State::open; }
+
+  // Ends the stream for its handler. In order: what is left goes out, then FIN, and the peer has a moment to
+  // read it; a close with unread input would make the kernel send a reset that overtakes the last line.
+  static void finish(std::unique_ptr<Stream> stream);
+  static void reset(std::unique_ptr<Stream> stream);
+
+ private:
+  enum class State { idle, connecting, open, closed };
+
+  void on_io(int events);
+  void flush();
+  void fail(Ending ending);
+  void watch();
+  void settle();
+  void release();
+
+  Loop& loop_;
+  Handler* handler_;
+  Fd fd_;
+  IoWatch io_;
+  TimerWatch linger_;
+  State state_ = State::idle;
+  bool reading_ = true, shut_ = false, broken_ = false, wrote_all_ = true;
+  std::string out_;
+  std::size_t sent_ = 0;
+  std::shared_ptr<Stream> self_;  // while it lingers it owns itself
+};
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/worker_side.cpp
@@ -0,0 +1,298 @@
+#include "net/worker_side.h"
+
+#include <algorithm>
+
+#include "config/options.h"
+
+namespace marblehub::net {
+namespace {
+
+using core::Ending;
+using core::Outcome;
+
+constexpr std::size_t kBacklogBound = 64 * 1024;
+constexpr Time kProbeTimeout = 500'000;
+constexpr Time kProbeIdle = 5'000'000;
+
+}  // namespace
+
+// ---- Delegations -----------------------------------------------------------------------------------
+
+// One connection to a worker, from the connect to the end of what stands on it.
+class WorkerLink final : public Stream::Handler {
+ public:
+  WorkerLink(WorkerSide& side, core::Exchange& exchange, const std::string& address, Time wait)
+      : side_(side),
+        exchange_(&exchange),
+        wait_until_(side.loop_.now() + wait),
+        stream_(std::make_unique<Stream>(side.loop_, *this)),
+        connect_timer_(side.loop_, [this] { over(Outcome::connect_failed, Ending::broken); }) {
+    if (auto to = parse_address(address)) {
+      stream_->connect(*to);
+      connect_timer_.start(side.connect_timeout_);
+    } else {
+      connect_timer_.start(0);
+    }
+  }
+
+  void connected() override {
+    connect_timer_.stop();
+    if (!exchange_) return;
+    if (!exchange_->may_begin()) return over(Outcome::connect_failed, Ending::broken);
+    // The worker is told how long this balancer will wait, not how long the client once would.
+    Time left = std::max<Time>(1, (wait_until_ - side_.loop_.now()) / 1000);
+    std::string line = with_field(exchange_->call().opening, "d", std::to_string(left)) + "\r\n";
+    side_.bytes_out_.add(static_cast<double>(line.size()));
+    asked_ = true;
+    stream_->write(line);
+  }
+
+  void received(std::string_view bytes) override {
+    side_.bytes_in_.add(static_cast<double>(bytes.size()));
+    if (!up_) {
+      in_.append(bytes);
+      std::size_t end = in_.find('\n');
+      if (std::min(end, in_.size()) >= kLongestLine) return over(Outcome::error, Ending::broken);
+      if (end == std::string::npos) return;
+      std::string line = in_.substr(0, end + 1), rest = in_.substr(end + 1);
+      in_.clear();
+      if (verb_of(line) != "UP") {
+        answer(std::move(line));
+        return;
+      }
+      up_ = true;
+      if (exchange_) exchange_->worker_up(line);
+      if (!rest.empty()) pass(rest);
+      return;
+    }
+    pass(bytes);
+  }
+
+  void drained() override {
+    if (!exchange_ || !full_told_) return;
+    full_told_ = false;
+    exchange_->worker_full(false);
+  }
+
+  void ended(Ending ending) override {
+    connect_timer_.stop();
+    if (!exchange_) return;
+    if (up_) return over(closing_, ending);
+    over(asked_ && stream_->backlog() == 0 ? Outcome::reset : Outcome::connect_failed, ending);
+  }
+
+  // ---- From the exchange, by way of the handle.
+  void deliver(std::string_view bytes) {
+    if (!stream_) return;
+    side_.bytes_out_.add(static_cast<double>(bytes.size()));
+    stream_->write(bytes);
+    if (stream_->backlog() > kBacklogBound && !full_told_ && exchange_) {
+      full_told_ = true;
+      exchange_->worker_full(true);
+    }
+  }
+  void hold(bool on) {
+    if (stream_) stream_->read_on(!on);
+  }
+  void finish(Ending ending) {
+    if (ending == Ending::finished && up_) {
+      Stream::finish(std::move(stream_));
+    } else {
+      Stream::reset(std::move(stream_));
+    }
+  }
+  void detach() {
+    exchange_ = nullptr;
+    connect_timer_.stop();
+    // Given up: at once and for good, so that no second delegation is out beside it.
+    if (stream_) Stream::reset(std::move(stream_));
+  }
+
+ private:
+  // A first line that is not UP: the outcome, as the protocol's table has it.
+  void answer(std::string line) {
+    std::string_view verb = verb_of(line);
+    core::LoadReport report = report_in(std::string_view(line).substr(0, line.find_last_not_of("\r\n") + 1));
+    Outcome outcome = Outcome::error;
+    if (verb == "BUSY") outcome = Outcome::full;
+    if (verb == "BYE") outcome = Outcome::served;
+    if (verb == "MOVE") outcome = Outcome::cancelled;
+    over(outcome, Ending::finished, report, line);
+  }
+
+  void pass(std::string_view bytes) {
+    while (!bytes.empty() && exchange_) {
+      LineWatch::Part part = lines_.next(bytes);
+      core::Piece piece{bytes.substr(0, part.length), 0, lines_.between()};
+      bytes.remove_prefix(part.length);
+      if (part.ended) {
+        std::string_view verb = verb_of(lines_.last());
+        if (verb == "LOAD") {
+          load_told(lines_.last());
+        } else if (verb == "BYE" || verb == "MOVE" || verb == "ERR") {
+          closing_ = verb == "BYE" ? Outcome::served : verb == "MOVE" ? Outcome::cancelled : Outcome::error;
+        } else {
+          piece.messages = 1;
+        }
+      }
+      exchange_->worker_sent(piece);
+    }
+  }
+
+  void load_told(std::string_view line) {
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+    if (line.size() <= 5) return;
+    if (auto load = config::number_in<double>(line.substr(5))) exchange_->worker_load(*load);
+  }
+
+  void over(Outcome outcome, Ending ending, const core::LoadReport& report = {},
+            std::string_view words = {}) {
+    connect_timer_.stop();
+    if (stream_) {
+      if (ending == Ending::finished) {
+        Stream::finish(std::move(stream_));
+      } else {
+        Stream::reset(std::move(stream_));
+      }
+    }
+    if (core::Exchange* exchange = std::exchange(exchange_, nullptr))
+      exchange->worker_ended(outcome, ending, report, words);
+  }
+
+  WorkerSide& side_;
+  core::Exchange* exchange_;
+  const Time wait_until_;
+  std::unique_ptr<Stream> stream_;
+  TimerWatch connect_timer_;
+  std::string in_;
+  LineWatch lines_;
+  Outcome closing_ = Outcome::reset;  // what an end means now
+  bool asked_ = false, up_ = false, full_told_ = false;
+};
+
+namespace {
+
+// What the exchange owns. The link may be inside a call of its own when it is given back: the loop frees it.
+class Handle final : public core::Delegation {
+ public:
+  Handle(Loop& loop, std::shared_ptr<WorkerLink> link) : loop_(loop), link_(std::move(link)) {}
+  ~Handle() override {
+    link_->detach();
+    loop_.bury(std::move(link_));
+  }
+  void deliver(std::string_view bytes) override { link_->deliver(bytes); }
+  void hold(bool on) override { link_->hold(on); }
+  void finish(Ending ending) override { link_->finish(ending); }
+
+ private:
+  Loop& loop_;
+  std::shared_ptr<WorkerLink> link_;
+};
+
+}  // namespace
+
+WorkerSide::WorkerSide(Loop& loop, Time connect_timeout, metrics::Registry& metrics)
+    : loop_(loop),
+      connect_timeout_(connect_timeout),
+      bytes_in_(metrics.counter("marblehub_worker_bytes_received_total", "Bytes from workers")),
+      bytes_out_(metrics.counter("marblehub_worker_bytes_sent_total", "Bytes to workers")) {}
+
+std::unique_ptr<core::Delegation> WorkerSide::delegate(core::Exchange& exchange, const std::string& address,
+                                                       Time wait) {
+  return std::make_unique<Handle>(loop_, std::make_shared<WorkerLink>(*this, exchange, address, wait));
+}
+
+// ---- Probes ----------------------------------------------------------------------------------------
+
+class Probes::Link final : public Stream::Handler {
+ public:
+  Link(Probes& probes, std::string worker)
+      : probes_(probes),
+        worker_(std::move(worker)),
+        timeout_(probes.loop_, [this] { timed_out(); }),
+        idle_(probes.loop_, [this] { drop(); }) {}
+  ~Link() override { Stream::reset(std::move(stream_)); }
+
+  void probe(const std::string& address) {
+    if (waiting_) return;
+    waiting_ = true;
+    sent_at_ = probes_.loop_.now();
+    idle_.stop();
+    if (address != address_) drop();
+    address_ = address;
+    reused_ = stream_ != nullptr;
+    ask();
+  }
+
+  void connected() override {
+    connected_ = true;
+    if (waiting_) timeout_.start(sent_at_ + kProbeTimeout - probes_.loop_.now());
+    stream_->write("STATS\r\n");
+  }
+  void received(std::string_view bytes) override {
+    in_.append(bytes);
+    if (in_.size() > kLongestLine) return end(Outcome::error, {});
+    std::optional<std::string> line = take_line(in_);
+    if (!line || !waiting_) return;
+    bool pong = verb_of(*line) == "PONG";
+    if (!pong) drop();
+    end(pong ? Outcome::served : Outcome::error, report_in(*line));
+  }
+  void ended(Ending) override {
+    drop();
+    if (!waiting_) return;
+    // A kept connection may have been closed by the worker just now: that says nothing of its health.
+    if (std::exchange(reused_, false)) return ask();
+    end(connected_ ? Outcome::reset : Outcome::connect_failed, {});
+  }
+
+ private:
+  void ask() {
+    connected_ = stream_ != nullptr;
+    if (stream_) {
+      timeout_.start(kProbeTimeout);
+      stream_->write("STATS\r\n");
+      return;
+    }
+    auto to = parse_address(address_);
+    stream_ = std::make_unique<Stream>(probes_.loop_, *this);
+    in_.clear();
+    timeout_.start(to ? probes_.connect_timeout_ : 0);
+    if (to) stream_->connect(*to);
+  }
+  void timed_out() {
+    drop();
+    end(connected_ ? Outcome::timeout : Outcome::connect_failed, {});
+  }
+  void drop() {
+    Stream::reset(std::move(stream_));
+    in_.clear();
+  }
+  void end(Outcome outcome, const core::LoadReport& report) {
+    timeout_.stop();
+    if (stream_) idle_.start(kProbeIdle);
+    if (!std::exchange(waiting_, false)) return;
+    probes_.result_(worker_, probes_.loop_.now() - sent_at_, outcome, report);
+  }
+
+  Probes& probes_;
+  const std::string worker_;
+  std::string address_, in_;
+  std::unique_ptr<Stream> stream_;
+  TimerWatch timeout_, idle_;
+  bool waiting_ = false, reused_ = false, connected_ = false;
+  Time sent_at_ = 0;
+};
+
+Probes::Probes(Loop& loop, Time connect_timeout) : loop_(loop), connect_timeout_(connect_timeout) {}
+Probes::~Probes() = default;
+
+void Probes::probe(const std::string& worker, const std::string& address) {
+  std::shared_ptr<Link>& link = links_[worker];
+  if (!link) link = std::make_shared<Link>(*this, worker);
+  link->probe(address);
+}
+
+void Probes::close() { links_.clear(); }
+
+}  // namespace marblehub::net
--- /dev/null
+++ b/src/net/worker_side.h
@@ -0,0 +1,47 @@
+// The platform's workers: one connection for each delegation, and the probes.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/dispatcher.h"
+#include "net/lines.h"
+#include "net/stream.h"
+
+namespace marblehub::net {
+
+class WorkerSide final : public core::WorkerSide {
+ public:
+  WorkerSide(Loop& loop, Time connect_timeout, metrics::Registry& metrics);
+  std::unique_ptr<core::Delegation> delegate(core::Exchange& exchange, const std::string& address,
+                                             Time wait) override;
+
+ private:
+  friend class WorkerLink;
+  Loop& loop_;
+  const Time connect_timeout_;
+  metrics::Metric &bytes_in_, &bytes_out_;
+};
+
+// Probes go over a connection of their own to each worker, kept for a while: a new one costs the worker work.
+class Probes final : public core::Prober {
+ public:
+  using Result = std::function<void(const std::string& worker, Time rtt, core::Outcome outcome,
+                                    const core::LoadReport& report)>;
+  Probes(Loop& loop, Time connect_timeout);
+  ~Probes() override;
+  void on_result(Result result) { result_ = std::move(result); }
+  void probe(const std::string& worker, const std::string& address) override;
+  void close();
+
+ private:
+  class Link;
+  Loop& loop_;
+  const Time connect_timeout_;
+  Result result_;
+  std::map<std::string, std::shared_ptr<Link>> links_;
+};
+
+}  // namespace marblehub::net
