Move connections off draining and deleted workers evenly within 3 s

Seen: leaves() looked only at down and late backends, so a connection on a draining worker stayed until the worker took it along (faulty: the inherited leaves(), which never reads Backend::draining). Now each connection is asked to move with a chance that empties the worker evenly within 3 s, unless no other worker is up.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -164,6 +164,8 @@
 
 void Dispatcher::attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal) {
   outcomes_[static_cast<std::size_t>(outcome)]->add();
+  log::debug("call {} at {}: {} after {} ms", exchange.id_, exchange.worker_,
+             kOutcomeNames[static_cast<std::size_t>(outcome)], (now() - exchange.sent_at_) / kMillisecond);
   if (exchange.handed_tries_ > 0 && exchange.state_ == Exchange::State::waiting) {
     timers_.push({now() + kHandoverAgain, Due::again, exchange.id_});
     return;
@@ -188,6 +190,7 @@
 
 void Dispatcher::redirected(Exchange& exchange) {
   moves_.add();
+  log::debug("call {} moves off {}", exchange.id_, exchange.worker_);
   ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
   close(exchange);
   tell(std::move(event));
@@ -236,6 +239,7 @@
   bool slow = delay * 3 > message_aim_;
   if (slow ? now() - pace.noted_at < kSecond : !pace.slow) return;
   pace.slow = slow;
+  log::debug("messages at {} take {} ms", exchange.worker_, delay / kMillisecond);
   pace.noted_at = now();
   tell(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::messages_slow,
                  static_cast<double>(delay) / kMillisecond});
@@ -281,6 +285,8 @@
 void Dispatcher::probe_result(const std::string& worker, Time rtt, Outcome outcome,
                               const LoadReport& report) {
   probe_outcomes_[static_cast<std::size_t>(outcome)]->add();
+  log::debug("probe of {}: {} after {} ms, load {:.2f}", worker,
+             kOutcomeNames[static_cast<std::size_t>(outcome)], rtt / kMillisecond, report.load);
   tell(ProbeResultEvent{worker, rtt, outcome, report});
 }
 
@@ -293,6 +299,11 @@
   for (const config::WorkerEntry& worker : list.workers) {
     const std::string& name = worker.backend.address;
     if (!worker.address.empty()) addresses_[name] = worker.address;
+    if (worker.backend.health != Health::serving || !list.snapshot)
+      log::debug("registry: {} is {}", name,
+                 worker.backend.health == Health::serving    ? "ready"
+                 : worker.backend.health == Health::draining ? "draining"
+                                                             : "gone");
     if (worker.backend.health == Health::serving) {
       leaving_.erase(name);
     } else {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -48,8 +48,9 @@
 constexpr double kRefill = 2;               // tokens for each usual connection of that flow
 
 // Moves and admission.
-constexpr Time kMoveOffDead = kSecond;      // a connection leaves a down backend within about so long
-constexpr Time kMoveOffSlow = 5 * kSecond;  // and one whose messages are late within about so long
+constexpr Time kMoveOffDead = kSecond;         // a connection leaves a down backend within about so long
+constexpr Time kMoveOffLeaving = 3 * kSecond;  // all are off a draining one by then, evenly spread
+constexpr Time kMoveOffSlow = 5 * kSecond;     // and one whose messages are late within about so long
 constexpr double kMoveFrom = 0.4;   // a backend counts as filling up from this part of the wanted time
 constexpr double kPressure = 0.25;  // when more than this part of the fleet is late, fewer are let in
 
@@ -110,6 +111,10 @@
       for (Backend& b : backends) b.listed = false;
     if (event.entries)
       for (const BackendEntry& entry : *event.entries) apply(entry);
+    for (Backend& b : backends) {
+      bool stays = b.listed && !b.draining;
+      b.leaving_since = stays ? -1 : b.leaving_since < 0 ? now : b.leaving_since;
+    }
     choose_sample();
   }
 
@@ -498,12 +503,23 @@
   // whose messages come later than wanted. Moves are spread in time and stop when most others are no better.
   bool leaves(const Request& r) {
     const Backend& b = backends[r.backend];
+    // A worker that drains takes its connections with it when it stops: all are asked to move before, at an
+    // even pace, so that they do not come back as one crowd. None moves where there is nowhere to go.
+    if (b.leaving_since >= 0) {
+      Time left = b.leaving_since + kMoveOffLeaving - now;
+      return somewhere_to_go() && (left <= kSweep || uniform() * static_cast<double>(left) < kSweep);
+    }
     double lateness = std::min(1.0, evidence(b) / shortest_aim_ms);
     if (lateness < kMoveFrom || !fresh(b, kNews)) lateness = 0;
     double rate = b.down ? 1.0 / kMoveOffDead : lateness * lateness * std::min(2.0, r.load) / kMoveOffSlow;
     return uniform() < rate * kSweep && room_elsewhere();
   }
 
+  bool somewhere_to_go() const {
+    return std::any_of(backends.begin(), backends.end(),
+                       [](const Backend& b) { return b.listed && !b.draining && !b.down; });
+  }
+
   bool room_elsewhere() const { return late_part(true) <= 0.5 || (admitted < 1 && late_part(false) > 0); }
 
   // The part of what this relay can judge of the fleet where messages come too late or not at all.
--- a/src/state.h
+++ b/src/state.h
@@ -26,7 +26,8 @@
   std::int64_t cell = -1;
   double scale = 1;
   bool listed = false, draining = false;
-  bool sampled = false;  // this relay's part of a big fleet
+  Time leaving_since = -1;  // when it was first said to drain or be gone; -1: it is not
+  bool sampled = false;     // this relay's part of a big fleet
 
   Time listed_start = 0;
   Time cold_since = 0;          // 0: warm since long ago
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
