--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -22,7 +22,10 @@
     for (std::size_t i = 0; i < value.size(); ++i) flatten_into(values, prefix + std::to_string(i), value[i]);
   } else if (value.is_array()) {
     std::string joined;
-    for (const json& item : value) joined += (joined.empty() ? "" : ",") + plain(item);
+    for (const json& item : value) {
+      if (!joined.empty()) joined += ',';
+      joined += plain(item);
+    }
     values[path] = joined;
   } else {
     values[path] = plain(value);
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -38,7 +38,7 @@
   std::int64_t sockets = 1024;
   WorkerList known;
   lemonspread::Settings settings;
-  std::string quic_file;  // of the second front; empty: off
+  std::string quic_file = "deploy/quic.json";  // of the second front; off where there is none
 };
 Startup startup_from(std::string_view json);
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatcher.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "log/log.h"
 
@@ -63,8 +64,7 @@
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
   timers_.push({now() + kWatchEvery, Due::watch});
-  for (const config::WorkerEntry& worker : startup.known.workers)
-    addresses_[worker.backend.address] = worker.address;
+  learn(startup.known);
   MembersEvent event;
   event.form = ListForm::remembered;
   auto entries = std::make_shared<std::vector<BackendEntry>>();
@@ -82,8 +82,8 @@
 }
 
 std::string Dispatcher::address_of(const std::string& worker) const {
-  auto it = addresses_.find(worker);
-  return it == addresses_.end() ? "" : it->second;
+  auto it = known_.find(worker);
+  return it == known_.end() ? "" : it->second.address;
 }
 
 // ---- Calls ---------------------------------------------------------------------------------------
@@ -124,7 +124,7 @@
   int attempt = exchange.attempts_++;
   delegations_.add();
   timers_.push({now() + wait, Due::attempt, exchange.id_, attempt});
-  exchange.delegation_ = exchange.workers_.delegate(exchange, address_of(worker), wait);
+  exchange.delegation_ = exchange.workers_.delegate(exchange, worker, address_of(worker), wait);
 }
 
 void Dispatcher::submit(const Submit& action) {
@@ -135,8 +135,9 @@
 
 // A connect may take a while: by then the worker may have been told to drain. Nothing new is sent to it.
 bool Dispatcher::may_begin(const std::string& worker) const {
-  auto it = leaving_.find(worker);
-  bool may = it == leaving_.end() || clock_.now() - it->second < kDrainGrace;
+  auto it = known_.find(worker);
+  bool may = it == known_.end() || it->second.health == Health::serving ||
+             clock_.now() - it->second.leaving_since < kDrainGrace;
   if (!may) held_back_.add();
   return may;
 }
@@ -290,31 +291,35 @@
   tell(ProbeResultEvent{worker, rtt, outcome, report});
 }
 
+// What a whole list does not name is gone.
+void Dispatcher::learn(const config::WorkerList& list) {
+  list_version_ += 1;
+  auto set = [this](Worker& worker, Health health) {
+    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = now();
+    worker.health = health;
+  };
+  std::unordered_set<std::string> named;
+  for (const config::WorkerEntry& entry : list.workers) {
+    Worker& worker = known_[entry.backend.address];
+    if (!entry.address.empty()) worker.address = entry.address;
+    set(worker, entry.backend.health);
+    named.insert(entry.backend.address);
+    if (entry.backend.health != Health::serving)
+      log::debug("registry: {} {}", entry.backend.address,
+                 entry.backend.health == Health::draining ? "drains" : "is gone");
+  }
+  if (!list.snapshot) return;
+  for (auto& [name, worker] : known_)
+    if (!named.count(name)) set(worker, Health::deleted);
+}
+
 void Dispatcher::list_told(const config::WorkerList& list) {
   lists_.add();
+  learn(list);
   MembersEvent event;
   event.form = list.snapshot ? ListForm::all : ListForm::changes;
   auto entries = std::make_shared<std::vector<BackendEntry>>();
-  std::unordered_map<std::string, Time> still;
-  for (const config::WorkerEntry& worker : list.workers) {
-    const std::string& name = worker.backend.address;
-    if (!worker.address.empty()) addresses_[name] = worker.address;
-    if (worker.backend.health != Health::serving || !list.snapshot)
-      log::debug("registry: {} is {}", name,
-                 worker.backend.health == Health::serving    ? "ready"
-                 : worker.backend.health == Health::draining ? "draining"
-                                                             : "gone");
-    if (worker.backend.health == Health::serving) {
-      leaving_.erase(name);
-    } else {
-      leaving_.try_emplace(name, now());
-    }
-    if (list.snapshot) still.emplace(name, 0);
-    entries->push_back(worker.backend);
-  }
-  if (list.snapshot)  // what a whole list does not name is gone
-    for (const auto& [name, address] : addresses_)
-      if (!still.count(name)) leaving_.try_emplace(name, now());
+  for (const config::WorkerEntry& worker : list.workers) entries->push_back(worker.backend);
   event.entries = std::move(entries);
   tell(std::move(event));
 }
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -43,9 +43,14 @@
   std::size_t unanswered() const { return unanswered_; }
   std::size_t standing() const { return calls_.size() - unanswered_; }
 
-  // The address at which this balancer reaches a worker; empty: unknown.
-  std::string address_of(const std::string& worker) const;
-  const std::unordered_map<std::string, std::string>& addresses() const { return addresses_; }
+  // The workers that the registry has named, those that drain or are gone included.
+  struct Worker {
+    std::string address;  // where this balancer reaches it
+    lemonspread::Health health = lemonspread::Health::serving;
+    Time leaving_since = 0;  // when it was first told to drain or be gone
+  };
+  const std::unordered_map<std::string, Worker>& workers() const { return known_; }
+  std::uint64_t list_version() const { return list_version_; }  // grows with every list or change
 
  private:
   friend class Exchange;
@@ -72,6 +77,8 @@
   void left(Exchange& exchange, bool stood);
   void redirected(Exchange& exchange);
 
+  std::string address_of(const std::string& worker) const;  // empty: unknown
+  void learn(const config::WorkerList& list);
   void tell(lemonspread::Event event);
   void pump();
   void act(const lemonspread::Action& action);
@@ -93,8 +100,8 @@
   Prober& prober_;
   Registry& registry_;
   lemonspread::Balancer balancer_;
-  std::unordered_map<std::string, std::string> addresses_;
-  std::unordered_map<std::string, Time> leaving_;  // workers told to drain or gone, and since when
+  std::unordered_map<std::string, Worker> known_;
+  std::uint64_t list_version_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Exchange>> calls_;
   std::vector<std::unique_ptr<Exchange>> ended_;
   std::unordered_map<std::string, Pace> paces_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -60,7 +60,8 @@
  public:
   virtual ~WorkerSide() = default;
   // Begins a delegation. What comes of it is told to the exchange, never from within this call.
-  virtual std::unique_ptr<Delegation> delegate(Exchange& exchange, const std::string& address, Time wait) = 0;
+  virtual std::unique_ptr<Delegation> delegate(Exchange& exchange, const std::string& worker,
+                                               const std::string& address, Time wait) = 0;
 };
 
 class Prober {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "net/loop.h"
 #include "net/registry_watch.h"
 #include "net/worker_side.h"
+#include "quic/front.h"
 
 namespace marblehub {
 namespace {
@@ -40,6 +42,7 @@
         dispatcher_(startup_, loop_, probes_, registry_, metrics_),
         workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
         listener_(loop_, dispatcher_, workers_, address(), metrics_),
+        quic_(quic_front()),
         retire_tick_(loop_, [this] { retire_step(); }),
         term_(loop_, SIGTERM, [this] { retire(); }),
         interrupt_(loop_, SIGINT, [this] { retire(); }),
@@ -70,6 +73,15 @@
     return *parsed;
   }
 
+  std::unique_ptr<quic::Front> quic_front() {
+    if (!std::filesystem::exists(startup_.quic_file)) return nullptr;
+    quic::QuicSettings settings = quic::quic_settings_from(
+        config::flatten(read_file(startup_.quic_file.c_str()), startup_.quic_file + ": "));
+    if (!settings.enabled) return nullptr;
+    log::info("QUIC connection ids are routed on {}", settings.listen);
+    return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), metrics_);
+  }
+
   void print() { std::cerr << metrics::exposition(metrics_) << std::flush; }
 
   void retire() {
@@ -84,6 +96,7 @@
     if (since >= kStillComing && !moving_) {
       moving_ = true;
       listener_.close();
+      if (quic_) quic_->close();
       dispatcher_.retire(kMoveSpan);
     }
     if (moving_ && since > kStillComing + kMoveSpan) dispatcher_.retire(0);  // those that were set up since
@@ -101,6 +114,7 @@
   core::Dispatcher dispatcher_;
   net::WorkerSide workers_;
   net::Listener listener_;
+  std::unique_ptr<quic::Front> quic_;  // none unless its file enables it
   net::TimerWatch retire_tick_;
   net::SignalWatch term_, interrupt_, print_;
   Time retiring_since_ = 0, last_seen_empty_ = 0;
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -197,8 +197,8 @@
       bytes_in_(metrics.counter("marblehub_worker_bytes_received_total", "Bytes from workers")),
       bytes_out_(metrics.counter("marblehub_worker_bytes_sent_total", "Bytes to workers")) {}
 
-std::unique_ptr<core::Delegation> WorkerSide::delegate(core::Exchange& exchange, const std::string& address,
-                                                       Time wait) {
+std::unique_ptr<core::Delegation> WorkerSide::delegate(core::Exchange& exchange, const std::string&,
+                                                       const std::string& address, Time wait) {
   return std::make_unique<Handle>(loop_, std::make_shared<WorkerLink>(*this, exchange, address, wait));
 }
 
--- /dev/null
+++ b/src/quic/packet.cpp
@@ -0,0 +1,121 @@
+#include "quic/packet.h"
+
+#include <fmt/format.h>
+
+namespace marblehub::quic {
+namespace {
+
+std::uint8_t octet(char c) { return static_cast<std::uint8_t>(c); }
+
+void put_u32(std::string& out, std::uint32_t value) {
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(value >> shift);
+}
+
+std::optional<std::string_view> take(std::string_view& bytes, std::uint64_t size) {
+  if (bytes.size() < size) return std::nullopt;
+  std::string_view part = bytes.substr(0, size);
+  bytes.remove_prefix(size);
+  return part;
+}
+
+std::optional<std::string_view> take_id(std::string_view& bytes) {
+  auto length = take(bytes, 1);
+  if (!length) return std::nullopt;
+  return take(bytes, octet((*length)[0]));
+}
+
+}  // namespace
+
+std::optional<std::uint64_t> take_varint(std::string_view& bytes) {
+  if (bytes.empty()) return std::nullopt;
+  std::size_t size = std::size_t{1} << (octet(bytes[0]) >> 6);
+  auto part = take(bytes, size);
+  if (!part) return std::nullopt;
+  std::uint64_t value = octet((*part)[0]) & 0x3f;
+  for (std::size_t i = 1; i < size; ++i) value = value << 8 | octet((*part)[i]);
+  return value;
+}
+
+void put_varint(std::string& out, std::uint64_t value) {
+  int width = value < 0x40 ? 0 : value < 0x4000 ? 1 : value < 0x40000000 ? 2 : 3;
+  std::size_t at = out.size();
+  for (int shift = 8 * ((1 << width) - 1); shift >= 0; shift -= 8) out += static_cast<char>(value >> shift);
+  out[at] = static_cast<char>(octet(out[at]) | width << 6);
+}
+
+std::optional<Header> parse(std::string_view datagram) {
+  if (datagram.empty()) return std::nullopt;
+  std::uint8_t first = octet(datagram[0]);
+  Header header;
+  std::string_view rest = datagram.substr(1);
+  if (!(first & 0x80)) {
+    if (!(first & 0x40) || rest.empty()) return std::nullopt;
+    header.destination = rest;
+    return header;
+  }
+  auto version = take(rest, 4);
+  if (!version) return std::nullopt;
+  for (char c : *version) header.version = header.version << 8 | octet(c);
+  auto destination = take_id(rest);
+  auto source = destination ? take_id(rest) : std::nullopt;
+  if (!source) return std::nullopt;
+  header.destination = *destination;
+  header.source = *source;
+  if (header.version == 0) {
+    header.kind = Kind::negotiation;
+    return header;
+  }
+  if (header.version != kVersion1) {
+    header.kind = Kind::other_version;
+    return header;
+  }
+  if (!(first & 0x40) || destination->size() > kLongestId || source->size() > kLongestId) return std::nullopt;
+  static constexpr Kind kinds[] = {Kind::initial, Kind::zero_rtt, Kind::handshake, Kind::retry};
+  header.kind = kinds[first >> 4 & 3];
+  if (header.kind == Kind::retry) return header;
+  if (header.kind == Kind::initial) {
+    auto token = take_varint(rest);
+    if (!token || !take(rest, *token)) return std::nullopt;
+  }
+  // The length covers the packet number and the payload; 20 octets are the least that header protection
+  // needs.
+  auto length = take_varint(rest);
+  if (!length || *length < 20 || *length > rest.size()) return std::nullopt;
+  return header;
+}
+
+std::string version_negotiation(const Header& header, const std::vector<std::uint32_t>& versions) {
+  std::string out(1, static_cast<char>(0xc0));
+  put_u32(out, 0);
+  out += static_cast<char>(header.source.size());
+  out += header.source;
+  out += static_cast<char>(header.destination.size());
+  out += header.destination;
+  for (std::uint32_t version : versions) put_u32(out, version);
+  return out;
+}
+
+std::string hex(std::string_view bytes) {
+  std::string out;
+  for (char c : bytes) out += fmt::format("{:02x}", octet(c));
+  return out;
+}
+
+std::optional<std::string> unhex(std::string_view text) {
+  auto digit = [](char c) {
+    return c >= '0' && c <= '9'   ? c - '0'
+           : c >= 'a' && c <= 'f' ? c - 'a' + 10
+           : c >= 'A' && c <= 'F' ? c - 'A' + 10
+                                  : -1;
+  };
+  if (text.size() % 2 != 0) return std::nullopt;
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); i += 2) {
+    int high = digit(text[i]), low = digit(text[i + 1]);
+    if (high < 0 || low < 0) return std::nullopt;
+    out += static_cast<char>(high << 4 | low);
+  }
+  return out;
+}
+
+}  // namespace marblehub::quic
