--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -14,7 +14,8 @@
 }
 
 void flatten_into(Values& values, const std::string& path, const json& value) {
-  std::string prefix = path.empty() ? path : path + ".";
+  std::string prefix = path;
+  if (!path.empty()) prefix += '.';
   if (value.is_object()) {
     for (const auto& [key, item] : value.items()) flatten_into(values, prefix + key, item);
   } else if (value.is_array() && !value.empty() && value.front().is_structured()) {
@@ -35,7 +36,7 @@
 }  // namespace
 
 Options flatten(std::string_view text, std::string place) {
-  json document = json::parse(text, nullptr, false);
+  json document = json::parse(text, nullptr, false, true);
   if (!document.is_object()) throw DecodeError(place + "expected a JSON object");
   Values values;
   flatten_into(values, "", document);
@@ -48,7 +49,7 @@
   for (auto it = options.values().lower_bound(prefix);
        it != options.values().end() && it->first.starts_with(prefix); ++it)
     values.emplace(it->first.substr(prefix.size()), it->second);
-  return Options(std::move(values), std::move(place));
+  return Options(std::move(values), std::move(place), options, prefix);
 }
 
 WorkerList list_from(const Options& options) {
@@ -74,8 +75,7 @@
   return list;
 }
 
-Startup startup_from(std::string_view text) {
-  Options all = flatten(text, "");
+Startup startup_from(const Options& all) {
   Startup s;
   s.name = all.text("name");
   s.listen = all.text("listen");
@@ -89,6 +89,7 @@
   if (all.find("known.snapshot")) s.known = list_from(below(all, "known", "known: "));
   s.settings = settings_from(below(all, "settings", "settings: "));
   if (const std::string* file = all.find("quic")) s.quic_file = *file;
+  if (const std::string* file = all.find("remote_write")) s.remote_write_file = *file;
   return s;
 }
 
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -12,7 +12,8 @@
 
 namespace marblehub::config {
 
-// A list of plain values is joined by commas; a list of objects gives .count and its items under .0, .1 ...
+// Comments that begin with // are passed over. A list of plain values is joined by commas; a list of objects
+// gives .count and its items under .0, .1 ...
 Options flatten(std::string_view json, std::string place);
 
 // The part of the options below `path`, with the path taken off.
@@ -38,8 +39,9 @@
   std::int64_t sockets = 1024;
   WorkerList known;
   lemonspread::Settings settings;
-  std::string quic_file = "deploy/quic.json";  // of the second front; off where there is none
+  std::string quic_file = "deploy/quic.json";                  // of the second front; off where there is none
+  std::string remote_write_file = "deploy/remote_write.json";  // the same
 };
-Startup startup_from(std::string_view json);
+Startup startup_from(const Options& options);
 
 }  // namespace marblehub::config
--- a/src/config/options.h
+++ b/src/config/options.h
@@ -6,10 +6,12 @@
 #include <cmath>
 #include <map>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "lemonspread/lemonspread.h"
 
@@ -36,13 +38,18 @@
 class Options {
  public:
   Options(Values values, std::string place) : values_(std::move(values)), place_(std::move(place)) {}
+  // A part of `whole`, which hears of the keys that are read here.
+  Options(Values values, std::string place, const Options& whole, std::string prefix)
+      : values_(std::move(values)), place_(std::move(place)), whole_(&whole), prefix_(std::move(prefix)) {}
 
   [[noreturn]] void refuse(std::string_view key, std::string_view expected) const {
     throw DecodeError(place_ + "setting " + std::string(key) + ": expected " + std::string(expected));
   }
   const std::string* find(std::string_view key) const {
     auto it = values_.find(key);
-    return it == values_.end() ? nullptr : &it->second;
+    if (it == values_.end()) return nullptr;
+    mark_read(it->first);
+    return &it->second;
   }
   const std::string& text(std::string_view key) const {
     const std::string* value = find(key);
@@ -76,10 +83,25 @@
     refuse(key, "one of " + names);
   }
   const Values& values() const { return values_; }
+  // Keys that nobody has asked for: a misspelt one is among them.
+  std::vector<std::string> unread() const {
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : values_)
+      if (!read_.count(key)) keys.push_back(key);
+    return keys;
+  }
 
  private:
+  void mark_read(const std::string& key) const {
+    read_.insert(key);
+    if (whole_) whole_->mark_read(prefix_ + key);
+  }
+
   Values values_;
   std::string place_;
+  const Options* whole_ = nullptr;
+  std::string prefix_;
+  mutable std::set<std::string> read_;
 };
 
 lemonspread::Settings settings_from(const Options& options);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "core/dispatcher.h"
 #include "log/log.h"
 #include "metrics/registry.h"
+#include "metrics/remote_write.h"
 #include "net/client_side.h"
 #include "net/loop.h"
 #include "net/registry_watch.h"
@@ -43,6 +44,7 @@
         workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
         listener_(loop_, dispatcher_, workers_, address(), metrics_),
         quic_(quic_front()),
+        remote_write_(remote_writer()),
         retire_tick_(loop_, [this] { retire_step(); }),
         term_(loop_, SIGTERM, [this] { retire(); }),
         interrupt_(loop_, SIGINT, [this] { retire(); }),
@@ -73,10 +75,25 @@
     return *parsed;
   }
 
+  // A file that may be absent: then what it would turn on is off.
+  static std::optional<config::Options> optional_file(const std::string& path) {
+    if (!std::filesystem::exists(path)) return std::nullopt;
+    return config::flatten(read_file(path.c_str()), path + ": ");
+  }
+
+  std::unique_ptr<metrics::RemoteWrite> remote_writer() {
+    auto options = optional_file(startup_.remote_write_file);
+    if (!options) return nullptr;
+    metrics::RemoteWriteSettings settings = metrics::remote_write_settings_from(*options);
+    if (!settings.enabled) return nullptr;
+    log::info("metrics are written to {} every {} ms", settings.address, settings.interval / 1000);
+    return std::make_unique<metrics::RemoteWrite>(loop_, std::move(settings), metrics_);
+  }
+
   std::unique_ptr<quic::Front> quic_front() {
-    if (!std::filesystem::exists(startup_.quic_file)) return nullptr;
-    quic::QuicSettings settings = quic::quic_settings_from(
-        config::flatten(read_file(startup_.quic_file.c_str()), startup_.quic_file + ": "));
+    auto options = optional_file(startup_.quic_file);
+    if (!options) return nullptr;
+    quic::QuicSettings settings = quic::quic_settings_from(*options);
     if (!settings.enabled) return nullptr;
     log::info("QUIC connection ids are routed on {}", settings.listen);
     return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), metrics_);
@@ -115,6 +132,7 @@
   net::WorkerSide workers_;
   net::Listener listener_;
   std::unique_ptr<quic::Front> quic_;  // none unless its file enables it
+  std::unique_ptr<metrics::RemoteWrite> remote_write_;
   net::TimerWatch retire_tick_;
   net::SignalWatch term_, interrupt_, print_;
   Time retiring_since_ = 0, last_seen_empty_ = 0;
@@ -124,12 +142,21 @@
 }  // namespace
 }  // namespace marblehub
 
-int main() {
+int main(int argc, char** argv) {
+  std::string_view word = argc > 1 ? argv[1] : "";
+  if (word == "--help" || argc > 2 || (argc == 2 && word.starts_with("-"))) {
+    std::cerr
+        << "usage: marblehub [FILE]\n\nServes as FILE, or the file named by BALANCER_CONFIG, says. See\n"
+           "marblehub-config --help for how to write and check one. SIGUSR1 prints the counters; SIGTERM\n"
+           "moves all clients and exits.\n";
+    return word == "--help" ? 0 : 2;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const char* path = std::getenv("BALANCER_CONFIG");
+    const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
-    marblehub::config::Startup startup = marblehub::config::startup_from(marblehub::read_file(path));
+    marblehub::config::Startup startup = marblehub::config::startup_from(
+        marblehub::config::flatten(marblehub::read_file(path), std::string(path) + ": "));
     marblehub::Program(std::move(startup)).run();
   } catch (const std::exception& error) {
     std::cerr << "marblehub: " << error.what() << '\n';
--- /dev/null
+++ b/src/metrics/remote_write.cpp
@@ -0,0 +1,188 @@
+#include "metrics/remote_write.h"
+
+#include <fmt/format.h>
+#include <snappy.h>
+
+#include <algorithm>
+#include <bit>
+
+#include "log/log.h"
+
+namespace marblehub::metrics {
+namespace {
+
+using net::Time;
+
+constexpr Time kLeastBackoff = 500'000, kMostBackoff = 30'000'000, kPatience = 5'000'000;
+
+void put_varint(std::string& out, std::uint64_t value) {
+  for (; value >= 0x80; value >>= 7) out += static_cast<char>(value | 0x80);
+  out += static_cast<char>(value);
+}
+
+// A field whose value is a string or a message.
+void put_bytes(std::string& out, unsigned number, std::string_view bytes) {
+  put_varint(out, number << 3 | 2);
+  put_varint(out, bytes.size());
+  out += bytes;
+}
+
+std::string label(std::string_view name, std::string_view value) {
+  std::string out;
+  put_bytes(out, 1, name);
+  put_bytes(out, 2, value);
+  return out;
+}
+
+std::string sample(double value, std::int64_t timestamp_ms) {
+  std::string out;
+  put_varint(out, 1 << 3 | 1);
+  auto bits = std::bit_cast<std::uint64_t>(value);
+  for (int i = 0; i < 8; ++i) out += static_cast<char>(bits >> (8 * i));
+  put_varint(out, 2 << 3);
+  put_varint(out, static_cast<std::uint64_t>(timestamp_ms));
+  return out;
+}
+
+}  // namespace
+
+RemoteWriteSettings remote_write_settings_from(const config::Options& options) {
+  RemoteWriteSettings s;
+  s.enabled = options.flag("enabled");
+  const std::string& url = options.text("url");
+  constexpr std::string_view scheme = "http://";
+  std::size_t slash = url.find('/', scheme.size());
+  if (url.starts_with(scheme)) s.address = url.substr(scheme.size(), slash - scheme.size());
+  s.path = slash == std::string::npos ? "/" : url.substr(slash);
+  if (!net::parse_address(s.address)) options.refuse("url", "http://a.b.c.d:port/path");
+  s.interval = options.number<Time>("interval_ms", 100) * 1000;
+  s.queue = options.number<std::size_t>("queue", 1);
+  for (const auto& [key, value] : options.values())
+    if (key.starts_with("labels.")) {
+      options.find(key);
+      s.labels.emplace_back(key.substr(7), value);
+    }
+  return s;
+}
+
+std::string write_request(const Registry& registry, const Labels& labels, std::int64_t timestamp_ms) {
+  std::string request;
+  for (const Metric& metric : registry.all()) {
+    Labels all = metric.labels;
+    all.emplace_back("__name__", metric.name);
+    for (const auto& more : labels)
+      if (std::none_of(all.begin(), all.end(), [&](const auto& l) { return l.first == more.first; }))
+        all.push_back(more);
+    std::sort(all.begin(), all.end());  // the receiver may refuse labels that are not in order
+    std::string series;
+    for (const auto& [name, value] : all) put_bytes(series, 1, label(name, value));
+    put_bytes(series, 2, sample(metric.value, timestamp_ms));
+    put_bytes(request, 1, series);
+  }
+  return request;
+}
+
+RemoteWrite::RemoteWrite(net::Loop& loop, RemoteWriteSettings settings, Registry& registry)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      registry_(registry),
+      collect_(loop, [this] { collect(); }),
+      retry_(loop, [this] { send(); }),
+      patience_(loop, [this] { again(); }),
+      backoff_(kLeastBackoff),
+      sent_(registry.counter("marblehub_remote_writes_total", "Remote writes, by how they ended",
+                             {{"result", "taken"}})),
+      retried_(registry.counter("marblehub_remote_writes_total", "Remote writes, by how they ended",
+                                {{"result", "retried"}})),
+      refused_(registry.counter("marblehub_remote_writes_total", "Remote writes, by how they ended",
+                                {{"result", "refused"}})),
+      overflowed_(registry.counter("marblehub_remote_writes_total", "Remote writes, by how they ended",
+                                   {{"result", "overflowed"}})) {
+  collect_.start(settings_.interval);
+}
+
+RemoteWrite::~RemoteWrite() { net::Stream::reset(std::move(stream_)); }
+
+void RemoteWrite::collect() {
+  collect_.start(settings_.interval);
+  std::string body, request = write_request(registry_, settings_.labels, loop_.now() / 1000);
+  snappy::Compress(request.data(), request.size(), &body);
+  if (queue_.size() >= settings_.queue) {
+    overflowed_.add();
+    // The one that is out stays first in the queue until its answer is there.
+    queue_.erase(queue_.begin() + (out_ && queue_.size() > 1 ? 1 : 0));
+    if (queue_.empty()) out_ = false;
+  }
+  queue_.push_back(std::move(body));
+  if (!out_ && !retry_.active()) send();
+}
+
+void RemoteWrite::send() {
+  if (queue_.empty()) return;
+  out_ = true;
+  complete_ = false;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  patience_.start(kPatience);
+  if (stream_) return connected();
+  stream_ = std::make_unique<net::Stream>(loop_, *this);
+  stream_->connect(*net::parse_address(settings_.address));
+}
+
+void RemoteWrite::connected() {
+  stream_->write(
+      fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/x-protobuf\r\n"
+                  "Content-Encoding: snappy\r\nUser-Agent: marblehub\r\n"
+                  "X-Prometheus-Remote-Write-Version: 0.1.0\r\nContent-Length: {}\r\n\r\n",
+                  settings_.path, settings_.address, queue_.front().size()));
+  stream_->write(queue_.front());
+}
+
+void RemoteWrite::received(std::string_view bytes) {
+  if (!out_) return;
+  http_parser_settings calls;
+  http_parser_settings_init(&calls);
+  calls.on_message_complete = [](http_parser* p) {
+    static_cast<RemoteWrite*>(p->data)->complete_ = true;
+    return 0;
+  };
+  std::size_t used = http_parser_execute(&parser_, &calls, bytes.data(), bytes.size());
+  if (complete_) return complete(parser_.status_code);
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != bytes.size()) again();
+}
+
+void RemoteWrite::ended(net::Ending) {
+  if (out_) return again();
+  net::Stream::reset(std::move(stream_));
+}
+
+void RemoteWrite::complete(unsigned status) {
+  if (!http_should_keep_alive(&parser_)) net::Stream::reset(std::move(stream_));
+  if (status / 100 == 5) return again();
+  if (status / 100 == 2) {
+    sent_.add();
+  } else {  // what the receiver will never take must not hold up what follows
+    refused_.add();
+    log::warning("remote write refused with {}", status);
+  }
+  done();
+}
+
+void RemoteWrite::done() {
+  out_ = false;
+  patience_.stop();
+  backoff_ = kLeastBackoff;
+  queue_.pop_front();
+  if (!queue_.empty()) retry_.start(0);
+}
+
+void RemoteWrite::again() {
+  retried_.add();
+  out_ = false;
+  patience_.stop();
+  net::Stream::reset(std::move(stream_));
+  retry_.start(backoff_);
+  backoff_ = std::min(2 * backoff_, kMostBackoff);
+}
+
+}  // namespace marblehub::metrics
--- /dev/null
+++ b/tests/exchange_test.cpp
@@ -0,0 +1,266 @@
+// Plays the recorded exchanges of tests/exchanges against the program over sockets. One file, one test:
+//   set PATH JSON            a setting, before the start       worker W          a stand-in worker
+//   start                    starts the program                c1 > TEXT         c1 connects if need be,
+//   sends a line c1 >> TEXT               the same, without a line end      c1 < TEXT [N ms]  must come next;
+//   ~ stands for digits W.1 < TEXT               the same at W's first call        W.1 > TEXT        and its
+//   answer c1 fin | c1 rst          ends its side                     c1 ends fin|rst   the program must end
+//   it like this W closed | W mute        refuses calls; answers no probe   registry W STATE  told to the
+//   program's watch registry 503             the next call fails               wait N milliseconds, and all
+//   goes on quiet c1                 nothing may have come             signal NAME       TERM, USR1, KILL
+//   exit N                   the program must exit so          counter NAME N    printed on USR1 or at exit
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "support/program.h"
+
+namespace marblehub::test {
+namespace {
+
+constexpr int kPatience = 4000;
+
+struct Conn {
+  int fd = -1;
+  std::string in;
+  enum { open, fin, rst } end = open;
+  bool call = false;
+  ~Conn() { ::close(fd); }
+
+  void read() {
+    char buffer[8192];
+    while (end == open) {
+      ssize_t n = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+      if (n <= 0) end = n == 0 ? fin : rst;
+      if (n > 0) in.append(buffer, static_cast<std::size_t>(n));
+    }
+  }
+  std::optional<std::string> line() {
+    std::size_t at = in.find("\r\n");
+    if (at == std::string::npos) return std::nullopt;
+    std::string text = in.substr(0, at);
+    in.erase(0, at + 2);
+    return text;
+  }
+  void send(const std::string& text) { ::send(fd, text.data(), text.size(), MSG_NOSIGNAL); }
+  void reset() {
+    linger hard{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    ::close(fd);
+    fd = -1;
+  }
+};
+
+bool matches(const std::string& pattern, const std::string& text) {
+  std::size_t t = 0;
+  for (char p : pattern) {
+    if (p == '~') {
+      if (t >= text.size() || !isdigit(text[t])) return false;
+      while (t < text.size() && isdigit(text[t])) ++t;
+    } else if (t >= text.size() || text[t++] != p) {
+      return false;
+    }
+  }
+  return t == text.size();
+}
+
+class Play {
+ public:
+  Play() {
+    registry_fd_ = bound(SOCK_STREAM | SOCK_NONBLOCK);
+    ::listen(registry_fd_, 16);
+  }
+  ~Play() {
+    ::close(registry_fd_);
+    for (auto& [name, w] : workers_)
+      if (w.fd >= 0) ::close(w.fd);
+  }
+
+  void step(const std::string& text) {
+    std::istringstream in(text);
+    std::string who, verb, rest;
+    in >> who >> verb;
+    std::getline(in >> std::ws, rest);
+    if (who == "set") return set(verb, json::parse(rest));
+    if (who == "worker") return add_worker(verb);
+    if (who == "start") return start();
+    if (who == "wait") return pump_for(std::stoi(verb));
+    if (who == "registry") return tell(verb, rest);
+    if (who == "signal")
+      return program_->signal(verb == "TERM" ? SIGTERM : verb == "KILL" ? SIGKILL : SIGUSR1);
+    if (who == "exit") return until([&] { return program_->exit_code() == std::stoi(verb); }, kPatience);
+    if (who == "counter") return until([&] { return program_->counter(verb) == std::stod(rest); }, kPatience);
+    if (who == "quiet") {
+      pump();
+      INFO("had come: " << conns_.at(verb)->in);
+      REQUIRE(conns_.at(verb)->in.empty());
+      return;
+    }
+    if (workers_.count(who)) {
+      if (verb == "mute") workers_[who].mute = true;
+      if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
+      return;
+    }
+    if (verb == ">" || verb == ">>") return conn(who).send(rest + (verb == ">" ? "\r\n" : ""));
+    if (verb == "<") return expect(who, rest);
+    if (verb == "fin") return void(::shutdown(conn(who).fd, SHUT_WR));
+    if (verb == "rst") return conn(who).reset();
+    if (verb == "ends") {
+      Conn& c = conn(who);
+      until([&] { return c.in.empty() && c.end == (rest == "fin" ? Conn::fin : Conn::rst); }, kPatience);
+      return;
+    }
+    FAIL("a line that is not understood: " << text);
+  }
+
+ private:
+  struct Worker {
+    int fd = -1;
+    bool mute = false;
+    std::string status = "ready";
+    std::vector<std::shared_ptr<Conn>> all;
+    int calls = 0;
+  };
+
+  void set(const std::string& path, json value) {
+    std::string pointer = "/" + path;
+    std::replace(pointer.begin(), pointer.end(), '.', '/');
+    settings_[json::json_pointer(pointer)] = std::move(value);
+  }
+  void add_worker(const std::string& name) {
+    Worker& w = workers_[name];
+    w.fd = bound(SOCK_STREAM | SOCK_NONBLOCK);
+    ::listen(w.fd, 64);
+    entries_[name] = {{"name", name},  {"address", text_of(port_of(w.fd))},
+                      {"zone", "a"},   {"type", "m"},
+                      {"group", 0},    {"status", "ready"},
+                      {"weight", 1.0}, {"since_ms", 0}};
+  }
+  void start() {
+    json known = json::array();
+    for (auto& [name, entry] : entries_) known.push_back(entry);
+    program_ = std::make_unique<Program>(known, settings_, port_of(registry_fd_));
+  }
+  void tell(const std::string& name, const std::string& status) {
+    if (name == "503") {
+      fail_next_ = true;
+    } else {
+      entries_[name]["status"] = status;
+      changed_.push_back(entries_[name]);
+    }
+    pump();
+  }
+  // One call out at a time is answered when there is news; a first call at once.
+  void serve_registry() {
+    int fd = ::accept4(registry_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      registry_ = std::make_unique<Conn>();
+      registry_->fd = fd;
+    }
+    if (!registry_) return;
+    registry_->read();
+    if (registry_->in.find("\r\n\r\n") == std::string::npos) return;
+    if (fail_next_) {
+      registry_->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+      fail_next_ = false;
+    } else if (!changed_.empty()) {
+      json body = {
+          {"index", ++index_}, {"snapshot", false}, {"endpoints", std::exchange(changed_, json::array())}};
+      std::string text = body.dump();
+      registry_->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" +
+                      text);
+    } else {
+      return;
+    }
+    registry_->in.clear();
+  }
+  void pump() {
+    serve_registry();
+    for (auto& [name, w] : workers_) {
+      int fd = w.fd >= 0 ? ::accept4(w.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) : -1;
+      if (fd >= 0) {
+        w.all.push_back(std::make_shared<Conn>());
+        w.all.back()->fd = fd;
+      }
+      for (auto& c : w.all) {
+        c->read();
+        if (!c->call && c->in.starts_with("OPEN")) {
+          c->call = true;
+          conns_[name + "." + std::to_string(++w.calls)] = c;
+        }
+        while (!c->call && !w.mute && c->in.starts_with("STATS\r\n")) {
+          c->line();
+          c->send("PONG latency_ms=2,util=0.1,x0=0.1\r\n");
+        }
+      }
+    }
+    for (auto& [name, c] : conns_) c->read();
+  }
+  void pump_for(int ms) {
+    for (std::int64_t end = now_ms() + ms; now_ms() < end; usleep(1000)) pump();
+  }
+  template <class Condition>
+  void until(Condition condition, int ms) {
+    for (std::int64_t end = now_ms() + ms; now_ms() < end; usleep(1000)) {
+      pump();
+      if (condition()) return;
+    }
+    FAIL("it did not come to that within " << ms << " ms; the log: " << program_->log());
+  }
+  void expect(const std::string& who, std::string pattern) {
+    int ms = kPatience;
+    if (std::size_t at = pattern.rfind(" ["); at != std::string::npos) {
+      ms = std::stoi(pattern.substr(at + 2));
+      pattern.resize(at);
+    }
+    std::optional<std::string> got;
+    bool worker = who.find('.') != std::string::npos;
+    until([&] { return (!worker || conns_.count(who)) && (got = conn(who).line()).has_value(); }, ms);
+    INFO(who << " got: " << *got);
+    REQUIRE(matches(pattern, *got));
+  }
+  Conn& conn(const std::string& who) {
+    auto& c = conns_[who];
+    if (!c) {
+      c = std::make_shared<Conn>();
+      c->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      sockaddr_in to = loopback(program_->port);
+      REQUIRE(::connect(c->fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    }
+    return *c;
+  }
+
+  json settings_ = settings(), changed_ = json::array();
+  std::map<std::string, json> entries_;
+  std::map<std::string, Worker> workers_;
+  std::map<std::string, std::shared_ptr<Conn>> conns_;
+  int registry_fd_, index_ = 1;
+  bool fail_next_ = false;
+  std::unique_ptr<Conn> registry_;
+  std::unique_ptr<Program> program_;
+};
+
+}  // namespace
+
+TEST_CASE("recorded exchanges") {
+  std::vector<std::filesystem::path> files;
+  for (const auto& entry : std::filesystem::directory_iterator(MARBLEHUB_EXCHANGES))
+    files.push_back(entry.path());
+  REQUIRE(files.size() >= 10);
+  for (const auto& path : files) {
+    DYNAMIC_SECTION(path.stem().string()) {
+      Play play;
+      std::ifstream file(path);
+      std::string text;
+      for (int line = 1; std::getline(file, text); ++line) {
+        if (text.empty() || text[0] == '#') continue;
+        INFO(path.filename().string() << " line " << line << ": " << text);
+        play.step(text);
+      }
+    }
+  }
+}
+
+}  // namespace marblehub::test
--- /dev/null
+++ b/tests/product_test.cpp
@@ -0,0 +1,230 @@
+// The product round the serving: remote write against a stand-in receiver, the alert rules, the tool.
+#include <snappy.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <regex>
+#include <set>
+
+#include "application.h"
+#include "metrics/remote_write.h"
+#include "support/program.h"
+
+namespace marblehub::test {
+namespace {
+
+std::string read(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string shell(const std::string& command, int* code) {
+  FILE* pipe = popen((command + " 2>&1").c_str(), "r");
+  std::string out;
+  char buffer[512];
+  while (std::size_t n = fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, n);
+  *code = WEXITSTATUS(pclose(pipe));
+  return out;
+}
+
+// A receiver that answers every request with the next status of a list, the last one over and over.
+struct Receiver {
+  Receiver() : fd(bound(SOCK_STREAM | SOCK_NONBLOCK)) { ::listen(fd, 8); }
+  ~Receiver() {
+    ::close(fd);
+    if (conn >= 0) ::close(conn);
+  }
+  void serve(int ms, std::size_t enough) {
+    for (std::int64_t end = now_ms() + ms; now_ms() < end && bodies.size() < enough; usleep(1000)) {
+      int fresh = ::accept4(fd, nullptr, nullptr, SOCK_NONBLOCK);
+      if (fresh >= 0) {
+        if (conn >= 0) ::close(conn);
+        conn = fresh;
+        in.clear();
+      }
+      char buffer[65536];
+      ssize_t n = conn >= 0 ? ::recv(conn, buffer, sizeof buffer, 0) : -1;
+      if (n > 0) in.append(buffer, static_cast<std::size_t>(n));
+      std::size_t body = in.find("\r\n\r\n");
+      std::size_t length_at = in.find("Content-Length: ");
+      if (body == std::string::npos || length_at == std::string::npos) continue;
+      auto length = static_cast<std::size_t>(std::stoi(in.substr(length_at + 16)));
+      if (in.size() < body + 4 + length) continue;
+      head = in.substr(0, body);
+      bodies.push_back(in.substr(body + 4, length));
+      times.push_back(now_ms());
+      in.clear();
+      int status = statuses.size() > 1 ? statuses.front() : statuses.back();
+      if (statuses.size() > 1) statuses.erase(statuses.begin());
+      std::string answer = "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: 0\r\n\r\n";
+      ::send(conn, answer.data(), answer.size(), MSG_NOSIGNAL);
+    }
+  }
+  int fd, conn = -1;
+  std::vector<int> statuses = {204};
+  std::string in, head;
+  std::vector<std::string> bodies;
+  std::vector<std::int64_t> times;
+};
+
+struct Writing {
+  explicit Writing(int interval_ms, std::size_t queue = 40) : registry_port(free_port(SOCK_STREAM)) {
+    char path[] = "/tmp/marblehub-write-XXXXXX";
+    ::close(mkstemp(path));
+    file = path;
+    std::ofstream(file) << json{{"enabled", true},
+                                {"url", "http://" + text_of(port_of(receiver.fd)) + "/api/v1/write"},
+                                {"interval_ms", interval_ms},
+                                {"queue", queue},
+                                {"labels", {{"job", "test"}}}};
+    quic = file + ".quic";
+    std::ofstream(quic) << json{
+        {"enabled", true},
+        {"listen", text_of(free_port(SOCK_DGRAM))},
+        {"class", "telemetry"},
+        {"deadline_ms", 1000},
+        {"idle_ms", 30000},
+        {"calls", 8},
+        {"paths", 8},
+        {"ids", json::array({{{"rotation", 0}, {"server_id_length", 4}, {"nonce_length", 6}, {"key", ""}}})}};
+    program = std::make_unique<Program>(json::array(), settings(), registry_port, quic, file);
+  }
+  ~Writing() {
+    std::remove(file.c_str());
+    std::remove(quic.c_str());
+  }
+  Receiver receiver;
+  int registry_port;
+  std::string file, quic;
+  std::unique_ptr<Program> program;
+};
+
+}  // namespace
+
+TEST_CASE("remote write sends every metric as version 1.0 asks") {
+  Writing w(200);
+  w.receiver.serve(3000, 2);
+  REQUIRE(w.receiver.bodies.size() == 2);
+  for (const char* line :
+       {"POST /api/v1/write HTTP/1.1", "Content-Encoding: snappy", "Content-Type: application/x-protobuf",
+        "X-Prometheus-Remote-Write-Version: 0.1.0"})
+    CHECK(w.receiver.head.find(line) != std::string::npos);
+  std::string plain;
+  REQUIRE(snappy::Uncompress(w.receiver.bodies[0].data(), w.receiver.bodies[0].size(), &plain));
+  CHECK(plain.find("\x08__name__\x12\x15marblehub_calls_total") != std::string::npos);
+  CHECK(plain.find("\x03job\x12\x04test") != std::string::npos);
+}
+
+TEST_CASE("the protobuf of one sample, octet by octet") {
+  metrics::Registry registry;
+  registry.counter("up", "help", {{"zone", "a"}}).add(1);
+  std::string expected = std::string("\x0a\x2f") + std::string("\x0a\x0e\x0a\x08__name__\x12\x02up", 16) +
+                         std::string(
+                             "\x0a\x09\x0a\x04zone\x12\x01"
+                             "a",
+                             11) +
+                         std::string("\x12\x10\x09\0\0\0\0\0\0\xf0\x3f\x10\x80\x89\xfa\xe6\xf6\x31", 18);
+  std::string got = metrics::write_request(registry, {}, 1715000000000 + 640);
+  INFO(json(got.size()));
+  CHECK(got.substr(2, 27) == expected.substr(2, 27));
+  CHECK(got.substr(29, 11) == expected.substr(29, 11));
+  CHECK(static_cast<std::size_t>(got[1]) == got.size() - 2);
+}
+
+TEST_CASE("remote write comes again after 5xx with the same samples, and drops on 4xx") {
+  Writing w(100);
+  w.receiver.statuses = {503, 400, 204};
+  w.receiver.serve(4000, 3);
+  REQUIRE(w.receiver.bodies.size() == 3);
+  CHECK(w.receiver.bodies[0] == w.receiver.bodies[1]);  // again after 503
+  CHECK(w.receiver.times[1] - w.receiver.times[0] >= 400);
+  CHECK(w.receiver.bodies[2] != w.receiver.bodies[1]);  // 400: dropped
+  w.receiver.serve(200, 99);
+  w.program->signal(SIGUSR1);
+  w.receiver.serve(100, 99);
+  CHECK(w.program->counter("marblehub_remote_writes_total{result=\"refused\"}") == 1);
+  CHECK(w.program->counter("marblehub_remote_writes_total{result=\"retried\"}") == 1);
+}
+
+TEST_CASE("a receiver that is away costs bounded memory and no serving") {
+  Writing w(100, 3);
+  ::close(w.receiver.fd);
+  w.receiver.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  usleep(900000);
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to = loopback(w.program->port);
+  REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  REQUIRE(::send(fd, "PING\r\n", 6, 0) == 6);
+  char answer[6];
+  CHECK(::recv(fd, answer, 6, MSG_WAITALL) == 6);
+  ::close(fd);
+  w.program->signal(SIGUSR1);
+  usleep(100000);
+  CHECK(w.program->counter("marblehub_remote_writes_total{result=\"overflowed\"}") >= 3);
+}
+
+TEST_CASE("every metric that an alert rule names is exported") {
+  Writing w(10000);
+  w.program->signal(SIGUSR1);
+  usleep(200000);
+  std::string rules = read(MARBLEHUB_SOURCE "/deploy/alerts.yml"), exported = w.program->log();
+  std::regex name("marblehub_[a-z_]+");
+  std::set<std::string> names;
+  for (std::sregex_iterator it(rules.begin(), rules.end(), name), end; it != end; ++it)
+    names.insert(it->str());
+  REQUIRE(names.size() >= 8);
+  for (const std::string& n : names) {
+    INFO(n);
+    CHECK(exported.find("\n# TYPE " + n + " ") != std::string::npos);
+  }
+}
+
+TEST_CASE("the tool writes files that are in order, and names the key that is not") {
+  std::string tool = MARBLEHUB_CONFIG, file = "/tmp/marblehub-tool-" + std::to_string(getpid()) + ".json";
+  int code = 0;
+  CHECK(shell(tool + " --help", &code).find("usage:") == 0);
+  CHECK(code == 0);
+  shell(tool, &code);
+  CHECK(code == 2);
+  for (const auto& application : config::applications()) {
+    std::remove(file.c_str());
+    shell(tool + " write " + application.name + " " + file, &code);
+    REQUIRE(code == 0);
+    CHECK(read(file).find("// ") != std::string::npos);
+    INFO(shell(tool + " check " + file, &code));
+    CHECK(code == 0);
+  }
+  shell(tool + " write scooters " + file, &code);  // never over one that exists
+  CHECK(code == 1);
+  std::string good = read(file);
+  auto spoiled = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    REQUIRE(text.find(from) != std::string::npos);
+    std::ofstream(file) << text.replace(text.find(from), from.size(), to);
+    return shell(tool + " check " + file, &code);
+  };
+  CHECK(
+      spoiled("\"max_attempts\": 4", "\"max_attempts\": 0").find("limits.max_attempts: expected a number") !=
+      std::string::npos);
+  CHECK(code == 1);
+  CHECK(spoiled("\"repeat\": \"safe\"", "\"repeat\": \"sure\"").find("repeat: expected one of safe, keyed") !=
+        std::string::npos);
+  CHECK(code == 1);
+  CHECK(spoiled("127.0.0.1:7070", "localhost").find("listen: expected a.b.c.d:port") != std::string::npos);
+  CHECK(code == 1);
+  CHECK(spoiled("\"known\": {", "\"known\": [").find("expected a JSON object") != std::string::npos);
+  CHECK(code == 1);
+  CHECK(spoiled("\"zone\": \"a\",", "\"zone\": \"a\", \"zome\": 1,").find("warning: settings.zome") !=
+        std::string::npos);
+  CHECK(code == 0);
+  for (const char* own : {"--quic " MARBLEHUB_SOURCE "/deploy/quic.json",
+                          "--remote-write " MARBLEHUB_SOURCE "/deploy/remote_write.json"}) {
+    INFO(shell(tool + " check " + own, &code));
+    CHECK(code == 0);
+  }
+  std::remove(file.c_str());
+}
+
+}  // namespace marblehub::test
--- /dev/null
+++ b/tests/support/program.h
@@ -0,0 +1,147 @@
+// The program under test, started as the platform starts it, and small sockets for its stand-in peers.
+#pragma once
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+
+namespace marblehub::test {
+
+using nlohmann::json;
+
+inline std::int64_t now_ms() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+}
+
+inline sockaddr_in loopback(int port = 0) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  a.sin_port = htons(static_cast<std::uint16_t>(port));
+  return a;
+}
+
+inline int port_of(int fd) {
+  sockaddr_in a{};
+  socklen_t size = sizeof a;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
+  return ntohs(a.sin_port);
+}
+
+inline std::string text_of(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+// A socket bound to a free loopback port; type may carry SOCK_NONBLOCK.
+inline int bound(int type) {
+  int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+  sockaddr_in a = loopback();
+  if (::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0) throw std::runtime_error("no free port");
+  return fd;
+}
+
+inline int free_port(int type) {
+  int fd = bound(type), port = port_of(fd);
+  ::close(fd);
+  return port;
+}
+
+inline json settings() {
+  return {{"balancers", 1},
+          {"me", 0},
+          {"zone", "a"},
+          {"registry_mode", "ask"},
+          {"limits",
+           {{"max_attempts", 4},
+            {"probes", true},
+            {"retry_after", true},
+            {"max_retry_after_us", 1500000},
+            {"connect_timeout_us", 250000}}},
+          {"invariants", {{"cold_share", 0.13}, {"warm_within_us", 24000000}}},
+          {"specifics", {{"message_aim_us", json::array({150000.0})}}},
+          {"request_classes", json::array({{{"name", "telemetry"},
+                                            {"slo_us", 500000},
+                                            {"give_up_us", 3000000},
+                                            {"repeat", "safe"},
+                                            {"dedup_scope", "all"},
+                                            {"window_us", 5000000},
+                                            {"stream", true}}})}};
+}
+
+class Program {
+ public:
+  Program(json known, json settings, int registry_port, const std::string& quic_file = "/nonexistent",
+          const std::string& remote_write_file = "/nonexistent")
+      : port(free_port(SOCK_STREAM)) {
+    char folder[] = "/tmp/marblehub-test-XXXXXX";
+    if (!mkdtemp(folder)) throw std::runtime_error("no temporary folder");
+    folder_ = folder;
+    json config = {{"name", "n0"},
+                   {"listen", text_of(port)},
+                   {"discovery", text_of(registry_port)},
+                   {"seed", "8c1f30d27a5be964"},
+                   {"limits", {{"sockets", 1024}}},
+                   {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", std::move(known)}}},
+                   {"settings", std::move(settings)},
+                   {"quic", quic_file},
+                   {"remote_write", remote_write_file}};
+    std::ofstream(folder_ + "/config.json") << config;
+    pid_ = fork();
+    if (pid_ == 0) {
+      setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
+      if (!freopen((folder_ + "/log").c_str(), "w", stderr)) _exit(126);
+      execl(MARBLEHUB_PROGRAM, "marblehub", nullptr);
+      _exit(127);
+    }
+    for (int i = 0; i < 400 && log().find("listens on") == std::string::npos; ++i) usleep(10000);
+  }
+  ~Program() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    std::remove((folder_ + "/config.json").c_str());
+    std::remove((folder_ + "/log").c_str());
+    rmdir(folder_.c_str());
+  }
+  void signal(int number) { ::kill(pid_, number); }
+  // The exit code; -1 while it runs, 128 and more where a signal ended it.
+  int exit_code() {
+    int status = 0;
+    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return -1;
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+  std::string log() const {
+    std::ifstream file(folder_ + "/log");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+  // A counter as the program prints it; -1 where it does not.
+  double counter(const std::string& name) const {
+    std::string text = log();
+    std::size_t at = text.rfind("\n" + name + " ");
+    return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+  }
+
+  const int port;
+
+ private:
+  std::string folder_;
+  pid_t pid_ = 0;
+};
+
+}  // namespace marblehub::test
--- /dev/null
+++ b/tools/application.h
@@ -0,0 +1,27 @@
+// Starting files for the applications the balancer is used for, and the check of one. For marblehub-config.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marblehub::config {
+
+struct Application {
+  std::string name, summary, request_class;
+  long aim_ms, deadline_ms, message_aim_ms;
+  int attempts;
+};
+const std::vector<Application>& applications();
+
+// A commented file to start from; JSON in which // begins a comment.
+std::string starting_file(const Application& application);
+
+struct Findings {
+  std::vector<std::string> errors, warnings;  // plain lines, each with the key it is about
+};
+enum class FileKind { start, quic, remote_write };
+// `folder` is where the files that a starting file names are looked for.
+Findings check(std::string_view text, FileKind kind, const std::string& folder);
+
+}  // namespace marblehub::config
--- /dev/null
+++ b/tools/marblehub_config.cpp
@@ -0,0 +1,81 @@
+// marblehub-config: writes a commented starting file for an application, and checks one.
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "application.h"
+
+namespace {
+
+using namespace marblehub::config;
+
+int usage(std::ostream& out, int code) {
+  out << "usage: marblehub-config list\n"
+         "       marblehub-config write APPLICATION [FILE]\n"
+         "       marblehub-config check [--quic|--remote-write] FILE\n"
+         "\n"
+         "list   names the applications that a starting file can be written for.\n"
+         "write  writes one, with comments, to FILE (never over one that exists) or to standard output.\n"
+         "check  reads a starting file and the files that it names, or one of those by itself. What is "
+         "wrong\n"
+         "       is said in one line each, with its key; the exit code is then 1. Keys that nothing reads\n"
+         "       are warned of. Exit code 2: the command line itself is wrong.\n";
+  return code;
+}
+
+int write(const std::vector<std::string>& args) {
+  for (const Application& application : applications()) {
+    if (application.name != args[1]) continue;
+    if (args.size() == 2) {
+      std::cout << starting_file(application);
+      return 0;
+    }
+    if (std::ifstream(args[2])) {
+      std::cerr << "marblehub-config: " << args[2] << " exists; it is left as it is\n";
+      return 1;
+    }
+    std::ofstream file(args[2]);
+    file << starting_file(application);
+    file.close();
+    if (file) return 0;
+    std::cerr << "marblehub-config: cannot write " << args[2] << '\n';
+    return 1;
+  }
+  std::cerr << "marblehub-config: no application is named " << args[1] << "; see: marblehub-config list\n";
+  return 1;
+}
+
+int check_file(const std::string& path, FileKind kind) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "marblehub-config: cannot read " << path << '\n';
+    return 1;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  Findings findings = check(text.str(), kind, ".");
+  for (const std::string& line : findings.warnings) std::cerr << path << ": warning: " << line << '\n';
+  for (const std::string& line : findings.errors) std::cerr << path << ": " << line << '\n';
+  if (findings.errors.empty()) std::cout << path << ": in order\n";
+  return findings.errors.empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::vector<std::string> args(argv + 1, argv + argc);
+  if (!args.empty() && (args[0] == "--help" || args[0] == "-h")) return usage(std::cout, 0);
+  if (args.size() == 1 && args[0] == "list") {
+    for (const Application& a : applications()) std::cout << a.name << "  " << a.summary << '\n';
+    return 0;
+  }
+  if (args.size() >= 2 && args.size() <= 3 && args[0] == "write") return write(args);
+  if (args.size() == 2 && args[0] == "check") return check_file(args[1], FileKind::start);
+  if (args.size() == 3 && args[0] == "check" && args[1] == "--quic")
+    return check_file(args[2], FileKind::quic);
+  if (args.size() == 3 && args[0] == "check" && args[1] == "--remote-write")
+    return check_file(args[2], FileKind::remote_write);
+  return usage(std::cerr, 2);
+}
