--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -412,6 +412,14 @@
   tell(ClientGoneEvent{id});
 }
 
+void Dispatcher::answer_all() {
+  std::vector<std::uint64_t> ids;
+  for (auto& [id, exchange] : calls_)
+    if (exchange->state_ == Exchange::State::waiting) ids.push_back(id);
+  for (std::uint64_t id : ids)
+    if (Exchange* exchange = find(id)) answer_and_close(*exchange, Answer::overload, 0);
+}
+
 void Dispatcher::retire(Time span) {
   std::vector<std::uint64_t> ids;
   for (auto& [id, exchange] : calls_)
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -40,6 +40,7 @@
 
   // ---- A planned restart: every standing connection is told to move within `span`.
   void retire(Time span);
+  void answer_all();  // the last moment: no call taken goes without its answer
   std::size_t unanswered() const { return unanswered_; }
   std::size_t standing() const { return calls_.size() - unanswered_; }
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,6 +34,7 @@
 constexpr double kProbeBudget = 0.005;  // points that probes may cost: half of one in a hundred
 constexpr double kProbesASecond = 20;   // on one backend from all relays: some % of a core at most
 constexpr double kHeldProbes = 8;       // a backend that holds our connections is probed so much oftener
+constexpr Time kLateRecheck = kSecond;  // one whose report says that messages come late
 constexpr Time kRecheck = 200 * kMillisecond;  // a suspect is probed again so soon
 
 // Signs of slowness.
@@ -244,6 +245,9 @@
   void note_report(Backend& b, const LoadReport& report) {
     if (report.load < 0) return;
     b.report.set(shortest_aim_ms * 0.07 * report.load / std::max(0.05, 1 - report.load), now);
+    // On sockets no message tells of its delay; only the next report says whether moving has helped.
+    if (b.active > 0 && b.report.value >= kMoveFrom * shortest_aim_ms)
+      b.probe_due = std::min(b.probe_due, now + jittered(kLateRecheck));
   }
 
   // ---- Blend and pick ----------------------------------------------------------------------------
@@ -376,6 +380,8 @@
     r.backend = i;
     r.out = r.open = true;
     count(r);
+    Backend& b = backends[i];  // nothing is known yet of a backend that may be full already
+    if (b.timings.empty()) b.probe_due = std::min(b.probe_due, now + up_to(kLateRecheck));
   }
 
   bool has_class(const RequestEvent& event) const {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -119,7 +119,8 @@
     if (moving_ && since > kStillComing + kMoveSpan) dispatcher_.retire(0);  // those that were set up since
     bool empty = moving_ && dispatcher_.standing() == 0 && dispatcher_.unanswered() == 0;
     if (empty && last_seen_empty_ == 0) last_seen_empty_ = since;
-    if (since > kLastMoment || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
+    if (since > kLastMoment) dispatcher_.answer_all();
+    if (since > kLastMoment + kTick || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
     retire_tick_.start(kTick);
   }
 
