--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -1,4 +1,5 @@
 // What the module does about a worker that is about to go.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -10,7 +11,7 @@
 namespace {
 
 struct Bench {
-  Bench() : balancer(settings(), 7, 0) {}
+  explicit Bench(const Settings& s = settings()) : balancer(s, 7, 0) {}
 
   static Settings settings() {
     Settings s;
@@ -37,6 +38,7 @@
         moved[move->id] = now;
         moves_this_second[now / 1'000'000] += 1;
       }
+      if (auto* probe = std::get_if<Probe>(&action)) probes.emplace_back(now, probe->backend);
       if (auto* submit = std::get_if<Submit>(&action)) sent.insert(submit->backend);
     }
   }
@@ -50,14 +52,31 @@
     for (int i = 0; i < count; ++i) handle(HandoverEvent{{next_id++, 0, 2'000'000, 0, false}, worker});
   }
 
+  auto probed(const std::string& name) const {
+    return std::count_if(probes.begin(), probes.end(), [&](const auto& p) { return p.second == name; });
+  }
+
   Balancer balancer;
   Time now = 0, timer_at = 0;
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, Time> moved;
   std::map<Time, int> moves_this_second;
   std::set<std::string> sent;
+  std::vector<std::pair<Time, std::string>> probes;
 };
 
+std::vector<BackendEntry> twelve() {
+  std::vector<BackendEntry> entries;
+  for (int i = 1; i <= 12; ++i) entries.push_back(Bench::entry(std::to_string(i), Health::serving));
+  return entries;
+}
+
+Settings dear_probes() {
+  Settings s = Bench::settings();
+  s.price_probe = 0.0018;  // stretches the interval as on the platform
+  return s;
+}
+
 }  // namespace
 
 TEST_CASE("all clients are told to move off a draining worker, evenly and in time") {
@@ -100,3 +119,29 @@
   b.run(4'000'000);
   CHECK(b.moved.empty());
 }
+
+// Sockets tell nothing of slow messages: a worker that reports them late is looked at again soon.
+TEST_CASE("a late report brings the next probe within about a second, a good one does not") {
+  for (double load : {0.95, 0.2}) {
+    Bench b(dear_probes());
+    b.list(ListForm::all, twelve());
+    b.hold("1", 10);
+    b.run(20'000'000);
+    b.handle(ProbeResultEvent{"1", 1000, Outcome::served, {0.2}});
+    b.run(200'000);  // the one that was due meanwhile goes out
+    Time at = b.now;
+    b.probes.clear();
+    b.handle(ProbeResultEvent{"1", 1000, Outcome::served, {load}});
+    b.run(1'400'000);
+    INFO("load " << load << " at " << at);
+    CHECK(b.probed("1") == (load > 0.9 ? 1 : 0));
+  }
+}
+
+TEST_CASE("a worker that holds connections at the start is probed within the first second") {
+  Bench b(dear_probes());
+  b.list(ListForm::all, twelve());
+  b.hold("1", 10);
+  b.run(1'050'000);
+  CHECK(b.probed("1") == 1);
+}
