Say once what the sockets, lists and files did in several places

Read again as a whole. One piece of code now serves where several stood: telling the module a list (start and registry answer), ending a stream as the other side ended (three branches), the backlog bound, cutting a line end (three loops), reading a file (three readers). Gone because nothing read it: Exchange::taken_at_, ClientLink::held_, Stream::is_connected, Probes::close, the table sizes of two fronts, two members in tests. The key to the recorded exchanges, which the formatter had run together, is a table again.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -1,6 +1,8 @@
 #include "config/json.h"
 
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace marblehub::config {
 namespace {
@@ -35,6 +37,14 @@
 
 }  // namespace
 
+std::optional<std::string> read_file(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return std::nullopt;
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 Options flatten(std::string_view text, std::string place) {
   json document = json::parse(text, nullptr, false, true);
   if (!document.is_object()) throw DecodeError(place + "expected a JSON object");
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -12,6 +12,8 @@
 
 namespace marblehub::config {
 
+std::optional<std::string> read_file(const std::string& path);  // none where it cannot be read
+
 // Comments that begin with // are passed over. A list of plain values is joined by commas; a list of objects
 // gives .count and its items under .0, .1 ...
 Options flatten(std::string_view json, std::string place);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -66,13 +66,7 @@
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
   timers_.push({now() + kWatchEvery, Due::watch});
-  learn(startup.known);
-  MembersEvent event;
-  event.form = ListForm::remembered;
-  auto entries = std::make_shared<std::vector<BackendEntry>>();
-  for (const config::WorkerEntry& worker : startup.known.workers) entries->push_back(worker.backend);
-  event.entries = std::move(entries);
-  tell(std::move(event));
+  tell_list(ListForm::remembered, startup.known);
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -318,13 +312,14 @@
 
 void Dispatcher::list_told(const config::WorkerList& list) {
   lists_.add();
+  tell_list(list.snapshot ? ListForm::all : ListForm::changes, list);
+}
+
+void Dispatcher::tell_list(ListForm form, const config::WorkerList& list) {
   learn(list);
-  MembersEvent event;
-  event.form = list.snapshot ? ListForm::all : ListForm::changes;
   auto entries = std::make_shared<std::vector<BackendEntry>>();
   for (const config::WorkerEntry& worker : list.workers) entries->push_back(worker.backend);
-  event.entries = std::move(entries);
-  tell(std::move(event));
+  tell(MembersEvent{form, std::move(entries)});
 }
 
 void Dispatcher::list_refused() {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -80,6 +80,7 @@
 
   std::string address_of(const std::string& worker) const;  // empty: unknown
   void learn(const config::WorkerList& list);
+  void tell_list(lemonspread::ListForm form, const config::WorkerList& list);
   void tell(lemonspread::Event event);
   void pump();
   void act(const lemonspread::Action& action);
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -16,7 +16,6 @@
       call_(std::move(call)),
       client_(&client),
       workers_(workers),
-      taken_at_(now),
       deadline_(now + call_.expires_in) {}
 
 void Exchange::client_sent(const Piece& piece) {
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -62,7 +62,7 @@
   int attempts_ = 0;
   int handed_tries_ = 0;
   std::string worker_;  // of the latest delegation
-  Time taken_at_, sent_at_ = 0, deadline_;
+  Time sent_at_ = 0, deadline_;
   bool moving_ = false;  // to be told to move as soon as the stream stands between two messages
   bool client_between_ = true;
   Time moving_since_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,10 +3,8 @@
 #include <cstdlib>
 #include <exception>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 #include "core/dispatcher.h"
 #include "log/log.h"
@@ -26,12 +24,10 @@
 // A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
 constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
 
-std::string read_file(const char* path) {
-  std::ifstream file(path);
-  if (!file) throw std::runtime_error(std::string("cannot read ") + path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+config::Options options_in(const std::string& path) {
+  auto text = config::read_file(path);
+  if (!text) throw std::runtime_error("cannot read " + path);
+  return config::flatten(*text, path + ": ");
 }
 
 class Program {
@@ -78,7 +74,7 @@
   // A file that may be absent: then what it would turn on is off.
   static std::optional<config::Options> optional_file(const std::string& path) {
     if (!std::filesystem::exists(path)) return std::nullopt;
-    return config::flatten(read_file(path.c_str()), path + ": ");
+    return options_in(path);
   }
 
   std::unique_ptr<metrics::RemoteWrite> remote_writer() {
@@ -156,8 +152,7 @@
   try {
     const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
-    marblehub::config::Startup startup = marblehub::config::startup_from(
-        marblehub::config::flatten(marblehub::read_file(path), std::string(path) + ": "));
+    marblehub::config::Startup startup = marblehub::config::startup_from(marblehub::options_in(path));
     marblehub::Program(std::move(startup)).run();
   } catch (const std::exception& error) {
     std::cerr << "marblehub: " << error.what() << '\n';
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -8,12 +8,9 @@
 #include <stdexcept>
 #include <utility>
 
-#include "log/log.h"
-
 namespace marblehub::net {
 namespace {
 
-constexpr std::size_t kBacklogBound = 64 * 1024;  // kept for a side that does not read; then the other waits
 constexpr Time kAcceptPause = 50'000;
 constexpr Time kIdleBeforeAsking = 30'000'000;  // a client that never asks does not keep its descriptor
 
@@ -193,7 +190,6 @@
 }
 
 void ClientLink::hold(bool on) {
-  held_ = on;
   if (stream_) stream_->read_on(!on);
 }
 
@@ -217,11 +213,7 @@
 void ClientLink::close(Ending ending) {
   if (!stream_) return;
   idle_.stop();
-  if (ending == Ending::finished) {
-    Stream::finish(std::move(stream_));
-  } else {
-    Stream::reset(std::move(stream_));
-  }
+  Stream::end(std::move(stream_), ending);
   listener_.remove(*this);
 }
 
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -20,7 +20,6 @@
   ~Listener();
 
   void close();  // takes what has come, then no more
-  std::size_t links() const { return links_.size(); }
 
  private:
   friend class ClientLink;
@@ -76,7 +75,7 @@
   FromStream from_stream_;
   std::unique_ptr<Stream> stream_;
   core::Exchange* exchange_ = nullptr;
-  bool asked_ = false, standing_ = false, held_ = false, full_told_ = false;
+  bool asked_ = false, standing_ = false, full_told_ = false;
   std::string in_;  // what has come and is not passed on yet
   LineWatch lines_;
   TimerWatch idle_;  // runs until the client has asked
--- a/src/net/lines.cpp
+++ b/src/net/lines.cpp
@@ -33,8 +33,12 @@
   return line;
 }
 
+std::string_view without_end(std::string_view line) {
+  return line.substr(0, line.find_last_not_of("\r\n") + 1);
+}
+
 std::string_view verb_of(std::string_view line) {
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+  line = without_end(line);
   return line.substr(0, line.find(' '));
 }
 
--- a/src/net/lines.h
+++ b/src/net/lines.h
@@ -15,6 +15,7 @@
 // Takes the next whole line out of a buffer, without its end; none if no line is whole yet.
 std::optional<std::string> take_line(std::string& buffer);
 
+std::string_view without_end(std::string_view line);  // without CRLF or LF
 std::string_view verb_of(std::string_view line);
 
 // The value of `name` in "VERB id key a=1,b=2" or "PONG a=1,b=2"; none if it is not there.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -185,6 +185,11 @@
   loop.bury(std::shared_ptr<Stream>(std::move(stream)));
 }
 
+void Stream::end(std::unique_ptr<Stream> stream, Ending ending) {
+  if (ending == Ending::finished) return finish(std::move(stream));
+  reset(std::move(stream));
+}
+
 void Stream::release() {
   state_ = State::closed;
   io_.stop();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -16,6 +16,8 @@
 
 std::optional<sockaddr_in> parse_address(std::string_view text);  // a.b.c.d:port
 
+constexpr std::size_t kBacklogBound = 64 * 1024;  // kept for a side that does not read; then the other waits
+
 class Stream {
  public:
   class Handler {
@@ -35,12 +37,12 @@
   void write(std::string_view bytes);
   void read_on(bool on);
   std::size_t backlog() const { return out_.size() - sent_; }
-  bool is_connected() const { return state_ == State::open; }
 
   // Ends the stream for its handler. In order: what is left goes out, then FIN, and the peer has a moment to
   // read it; a close with unread input would make the kernel send a reset that overtakes the last line.
   static void finish(std::unique_ptr<Stream> stream);
   static void reset(std::unique_ptr<Stream> stream);
+  static void end(std::unique_ptr<Stream> stream, Ending ending);  // the one or the other
 
  private:
   enum class State { idle, connecting, open, closed };
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -10,7 +10,6 @@
 using core::Ending;
 using core::Outcome;
 
-constexpr std::size_t kBacklogBound = 64 * 1024;
 constexpr Time kProbeTimeout = 500'000;
 constexpr Time kProbeIdle = 5'000'000;
 
@@ -94,25 +93,19 @@
   void hold(bool on) {
     if (stream_) stream_->read_on(!on);
   }
-  void finish(Ending ending) {
-    if (ending == Ending::finished && up_) {
-      Stream::finish(std::move(stream_));
-    } else {
-      Stream::reset(std::move(stream_));
-    }
-  }
+  void finish(Ending ending) { Stream::end(std::move(stream_), up_ ? ending : Ending::broken); }
   void detach() {
     exchange_ = nullptr;
     connect_timer_.stop();
     // Given up: at once and for good, so that no second delegation is out beside it.
-    if (stream_) Stream::reset(std::move(stream_));
+    Stream::reset(std::move(stream_));
   }
 
  private:
   // A first line that is not UP: the outcome, as the protocol's table has it.
   void answer(std::string line) {
     std::string_view verb = verb_of(line);
-    core::LoadReport report = report_in(std::string_view(line).substr(0, line.find_last_not_of("\r\n") + 1));
+    core::LoadReport report = report_in(without_end(line));
     Outcome outcome = Outcome::error;
     if (verb == "BUSY") outcome = Outcome::full;
     if (verb == "BYE") outcome = Outcome::served;
@@ -140,7 +133,7 @@
   }
 
   void load_told(std::string_view line) {
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+    line = without_end(line);
     if (line.size() <= 5) return;
     if (auto load = config::number_in<double>(line.substr(5))) exchange_->worker_load(*load);
   }
@@ -148,13 +141,7 @@
   void over(Outcome outcome, Ending ending, const core::LoadReport& report = {},
             std::string_view words = {}) {
     connect_timer_.stop();
-    if (stream_) {
-      if (ending == Ending::finished) {
-        Stream::finish(std::move(stream_));
-      } else {
-        Stream::reset(std::move(stream_));
-      }
-    }
+    Stream::end(std::move(stream_), ending);
     if (core::Exchange* exchange = std::exchange(exchange_, nullptr))
       exchange->worker_ended(outcome, ending, report, words);
   }
@@ -293,6 +280,4 @@
   link->probe(address);
 }
 
-void Probes::close() { links_.clear(); }
-
 }  // namespace marblehub::net
--- a/src/net/worker_side.h
+++ b/src/net/worker_side.h
@@ -1,7 +1,6 @@
 // The platform's workers: one connection for each delegation, and the probes.
 #pragma once
 
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,7 +33,6 @@
   ~Probes() override;
   void on_result(Result result) { result_ = std::move(result); }
   void probe(const std::string& worker, const std::string& address) override;
-  void close();
 
  private:
   class Link;
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -27,8 +27,6 @@
   Front(net::Loop& loop, core::Dispatcher& dispatcher, QuicSettings settings, metrics::Registry& metrics);
   ~Front();
   void close();  // new clients are taken no more; what stands goes on
-  std::size_t flows() const { return flows_.size(); }
-  std::size_t paths() const { return all_paths_.size(); }
 
  private:
   friend class Flow;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -1,14 +1,22 @@
 // Plays the recorded exchanges of tests/exchanges against the program over sockets. One file, one test:
-//   set PATH JSON            a setting, before the start       worker W          a stand-in worker
-//   start                    starts the program                c1 > TEXT         c1 connects if need be,
-//   sends a line c1 >> TEXT               the same, without a line end      c1 < TEXT [N ms]  must come next;
-//   ~ stands for digits W.1 < TEXT               the same at W's first call        W.1 > TEXT        and its
-//   answer c1 fin | c1 rst          ends its side                     c1 ends fin|rst   the program must end
-//   it like this W closed | W mute        refuses calls; answers no probe   registry W STATE  told to the
-//   program's watch registry 503             the next call fails               wait N milliseconds, and all
-//   goes on quiet c1                 nothing may have come             signal NAME       TERM, USR1, KILL
-//   files N                  descriptors allowed, before the start   atleast NAME N  as counter, N or more
-//   exit N                   the program must exit so          counter NAME N    printed on USR1 or at exit
+// clang-format off
+//   set PATH JSON       a setting, before the start
+//   files N             descriptors allowed, before the start
+//   worker W            a stand-in worker
+//   start               starts the program
+//   c1 > TEXT           c1 connects if need be and sends a line; >> sends no line end
+//   c1 < TEXT [N]       must come next, within N ms; ~ stands for digits
+//   W.1 < TEXT          the same at W's first call; W.1 > TEXT is its answer
+//   c1 fin | c1 rst     ends its side
+//   c1 ends fin|rst     the program must end it like this
+//   W closed | W mute   refuses calls; answers no probe
+//   registry W STATE    told to the program's watch; registry 503: the next call fails
+//   wait N              milliseconds, and all goes on
+//   quiet c1            nothing may have come
+//   signal NAME         TERM, USR1, KILL
+//   counter NAME N      printed on USR1 or at exit; atleast NAME N: N or more
+//   exit N              the program must exit so
+// clang-format on
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <memory>
@@ -128,7 +136,6 @@
   struct Worker {
     int fd = -1;
     bool mute = false;
-    std::string status = "ready";
     std::vector<std::shared_ptr<Conn>> all;
     int calls = 0;
   };
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
-#include <set>
 
 #include "lemonspread/lemonspread.h"
 
@@ -39,7 +38,6 @@
         moves_this_second[now / 1'000'000] += 1;
       }
       if (auto* probe = std::get_if<Probe>(&action)) probes.emplace_back(now, probe->backend);
-      if (auto* submit = std::get_if<Submit>(&action)) sent.insert(submit->backend);
     }
   }
   void run(Time span) {
@@ -61,7 +59,6 @@
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, Time> moved;
   std::map<Time, int> moves_this_second;
-  std::set<std::string> sent;
   std::vector<std::pair<Time, std::string>> probes;
 };
 
--- a/tools/application.cpp
+++ b/tools/application.cpp
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
 #include "config/json.h"
 #include "metrics/remote_write.h"
@@ -84,17 +82,13 @@
       findings.errors.push_back(fmt::format("{}: expected a.b.c.d:port", key));
   for (const auto& [name, kind] :
        {std::pair(startup.quic_file, FileKind::quic), {startup.remote_write_file, FileKind::remote_write}}) {
-    std::filesystem::path path = std::filesystem::path(name).is_absolute()
-                                     ? std::filesystem::path(name)
-                                     : std::filesystem::path(folder) / name;
-    std::ifstream file(path);
-    if (!file) {
+    std::filesystem::path path = std::filesystem::path(folder) / name;  // an absolute name stands for itself
+    auto text = read_file(path);
+    if (!text) {
       findings.warnings.push_back(fmt::format("{}: not found; what it would turn on stays off", name));
       continue;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    Findings inner = check(text.str(), kind, folder);
+    Findings inner = check(*text, kind, folder);
     for (auto& line : inner.errors) findings.errors.push_back(name + ": " + line);
     for (auto& line : inner.warnings) findings.warnings.push_back(name + ": " + line);
   }
--- a/tools/marblehub_config.cpp
+++ b/tools/marblehub_config.cpp
@@ -1,11 +1,11 @@
 // marblehub-config: writes a commented starting file for an application, and checks one.
 #include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "application.h"
+#include "config/json.h"
 
 namespace {
 
@@ -48,14 +48,12 @@
 }
 
 int check_file(const std::string& path, FileKind kind) {
-  std::ifstream file(path);
-  if (!file) {
+  auto text = read_file(path);
+  if (!text) {
     std::cerr << "marblehub-config: cannot read " << path << '\n';
     return 1;
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  Findings findings = check(text.str(), kind, ".");
+  Findings findings = check(*text, kind, ".");
   for (const std::string& line : findings.warnings) std::cerr << path << ": warning: " << line << '\n';
   for (const std::string& line : findings.errors) std::cerr << path << ": " << line << '\n';
   if (findings.errors.empty()) std::cout << path << ": in order\n";
