Reload the configuration on SIGHUP and follow discovery to its new address

Checked: no handler for SIGHUP in src/main.cpp, so its default ended the process; RegistryWatch kept its address const. Ruled out: a crash while decoding (nothing was decoded).

load_startup decodes the file whole or not at all; RegistryWatch::follow drops what is out at the old address and asks for the whole list at the new one, whose versions need not go on from the old. SIGHUP stays blocked before its watcher stands and after it has gone, or one close to a SIGTERM would end the process by its default. A wrong discovery or listen address is now found when the file is decoded, with its key.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -1,5 +1,7 @@
 #include "config/json.h"
 
+#include <arpa/inet.h>
+
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -37,6 +39,18 @@
 
 }  // namespace
 
+std::optional<sockaddr_in> parse_address(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::optional<std::uint16_t> port = number_in<std::uint16_t>(text.substr(colon + 1));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  if (!port || inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address.sin_addr) != 1)
+    return std::nullopt;
+  address.sin_port = htons(*port);
+  return address;
+}
+
 std::optional<std::string> read_file(const std::string& path) {
   std::ifstream file(path);
   if (!file) return std::nullopt;
@@ -85,11 +99,22 @@
   return list;
 }
 
+namespace {
+
+// An address that can be spoken to: a wrong one must not be found out only when it is needed.
+const std::string& address_at(const Options& options, std::string_view key) {
+  const std::string& text = options.text(key);
+  if (!parse_address(text)) options.refuse(key, "a.b.c.d:port");
+  return text;
+}
+
+}  // namespace
+
 Startup startup_from(const Options& all) {
   Startup s;
   s.name = all.text("name");
-  s.listen = all.text("listen");
-  s.registry = all.text("discovery");
+  s.listen = address_at(all, "listen");
+  s.registry = address_at(all, "discovery");
   if (const std::string* seed = all.find("seed")) {
     auto [end, error] = std::from_chars(seed->data(), seed->data() + seed->size(), s.seed, 16);
     if (error != std::errc() || end != seed->data() + seed->size())
@@ -103,4 +128,27 @@
   return s;
 }
 
+Loaded load_startup(const std::string& path) {
+  auto text = read_file(path);
+  if (!text) throw DecodeError("cannot read " + path);
+  Options options = flatten(*text, path + ": ");
+  return {startup_from(options), options.values()};
+}
+
+std::vector<std::string> needs_restart(const Values& in_force, const Values& reloaded) {
+  std::set<std::string> differ;
+  auto compare = [&](const Values& one, const Values& other) {
+    for (const auto& [key, value] : one) {
+      // Followed at once; news of the registry only, of which the file is a memory; and new with each start.
+      bool followed =
+          key == "discovery" || key == "limits.sockets" || key.starts_with("known.") || key == "seed";
+      auto it = other.find(key);
+      if (!followed && (it == other.end() || it->second != value)) differ.insert(key);
+    }
+  };
+  compare(in_force, reloaded);
+  compare(reloaded, in_force);
+  return {differ.begin(), differ.end()};
+}
+
 }  // namespace marblehub::config
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -2,6 +2,8 @@
 // directly.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -12,6 +14,8 @@
 
 namespace marblehub::config {
 
+std::optional<sockaddr_in> parse_address(std::string_view text);  // a.b.c.d:port
+
 std::optional<std::string> read_file(const std::string& path);  // none where it cannot be read
 
 // Comments that begin with // are passed over. A list of plain values is joined by commas; a list of objects
@@ -46,4 +50,14 @@
 };
 Startup startup_from(const Options& options);
 
+// A starting file, decoded whole or not at all: what is wrong is thrown with its place and key.
+struct Loaded {
+  Startup startup;
+  Values values;  // as they stand in the file, to tell what a reload would change
+};
+Loaded load_startup(const std::string& path);
+
+// The keys of a reloaded file that differ from those in force and take a restart to follow.
+std::vector<std::string> needs_restart(const Values& in_force, const Values& reloaded);
+
 }  // namespace marblehub::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -32,8 +32,10 @@
 
 class Program {
  public:
-  explicit Program(config::Startup startup)
-      : startup_(std::move(startup)),
+  Program(std::string path, config::Loaded loaded)
+      : path_(std::move(path)),
+        startup_(std::move(loaded.startup)),
+        values_(std::move(loaded.values)),
         probes_(loop_, startup_.settings.connect_timeout_us),
         registry_(loop_, startup_.registry, startup_.known.index),
         dispatcher_(startup_, loop_, probes_, registry_, metrics_),
@@ -44,7 +46,13 @@
         retire_tick_(loop_, [this] { retire_step(); }),
         term_(loop_, SIGTERM, [this] { retire(); }),
         interrupt_(loop_, SIGINT, [this] { retire(); }),
-        print_(loop_, SIGUSR1, [this] { print(); }) {
+        hangup_(loop_, SIGHUP, [this] { reload(); }),
+        print_(loop_, SIGUSR1, [this] { print(); }),
+        reloads_(metrics_.counter("marblehub_reloads_total", "Reloads of the configuration, by their result",
+                                  {{"result", "taken"}})),
+        reloads_refused_(metrics_.counter("marblehub_reloads_total",
+                                          "Reloads of the configuration, by their result",
+                                          {{"result", "refused"}})) {
     probes_.on_result(
         [this](const std::string& worker, Time rtt, core::Outcome outcome, const core::LoadReport& report) {
           dispatcher_.probe_result(worker, rtt, outcome, report);
@@ -60,15 +68,14 @@
       return dispatcher_.next_due() - loop_.now();
     });
     log::info("{} listens on {}", startup_.name, startup_.listen);
+    net::SignalGate hangups(SIGHUP);
     loop_.run();
     print();
   }
 
  private:
   sockaddr_in address() const {
-    auto parsed = net::parse_address(startup_.listen);
-    if (!parsed) throw std::runtime_error("listen: expected an address a.b.c.d:port");
-    return *parsed;
+    return *net::parse_address(startup_.listen);  // checked when it was decoded
   }
 
   // A file that may be absent: then what it would turn on is off.
@@ -95,6 +102,21 @@
     return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), metrics_);
   }
 
+  // SIGHUP. The file is taken whole or not at all, and no connection or call is touched.
+  void reload() {
+    try {
+      config::Loaded loaded = config::load_startup(path_);
+      for (const std::string& key : config::needs_restart(values_, loaded.values))
+        log::warning("{} has changed, which takes a restart to follow", key);
+      registry_.follow(loaded.startup.registry);
+      reloads_.add();
+      log::info("configuration reloaded, the registry is {}", loaded.startup.registry);
+    } catch (const std::exception& error) {
+      reloads_refused_.add();
+      log::error("configuration not reloaded, the old one stays in force: {}", error.what());
+    }
+  }
+
   void print() { std::cerr << metrics::exposition(metrics_) << std::flush; }
 
   void retire() {
@@ -120,7 +142,9 @@
     retire_tick_.start(kTick);
   }
 
-  config::Startup startup_;
+  const std::string path_;
+  const config::Startup startup_;
+  const config::Values values_;  // of the file it was started with
   metrics::Registry metrics_;
   net::Loop loop_;
   net::Probes probes_;
@@ -131,7 +155,8 @@
   std::unique_ptr<quic::Front> quic_;  // none unless its file enables it
   std::unique_ptr<metrics::RemoteWrite> remote_write_;
   net::TimerWatch retire_tick_;
-  net::SignalWatch term_, interrupt_, print_;
+  net::SignalWatch term_, interrupt_, hangup_, print_;
+  metrics::Metric &reloads_, &reloads_refused_;
   Time retiring_since_ = 0, last_seen_empty_ = 0;
   bool moving_ = false;
 };
@@ -145,15 +170,20 @@
     std::cerr
         << "usage: marblehub [FILE]\n\nServes as FILE, or the file named by BALANCER_CONFIG, says. See\n"
            "marblehub-config --help for how to write and check one. SIGUSR1 prints the counters; SIGTERM\n"
-           "moves all clients and exits.\n";
+           "moves all clients and exits; SIGHUP reloads the file.\n";
     return word == "--help" ? 0 : 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  // Before its watcher stands and after it has gone, a SIGHUP would end the process: until then it waits, and
+  // one that comes while the program exits is never delivered.
+  sigset_t hangup;
+  sigemptyset(&hangup);
+  sigaddset(&hangup, SIGHUP);
+  sigprocmask(SIG_BLOCK, &hangup, nullptr);
   try {
     const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
-    marblehub::config::Startup startup = marblehub::config::startup_from(marblehub::options_in(path));
-    marblehub::Program(std::move(startup)).run();
+    marblehub::Program(path, marblehub::config::load_startup(path)).run();
   } catch (const std::exception& error) {
     std::cerr << "marblehub: " << error.what() << '\n';
     return 1;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -69,6 +70,15 @@
   ev_timer_start(loop, &self.wake_);
 }
 
+SignalGate::SignalGate(int number) : number_(number) { set(SIG_UNBLOCK); }
+SignalGate::~SignalGate() { set(SIG_BLOCK); }
+void SignalGate::set(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, number_);
+  sigprocmask(how, &signals, nullptr);
+}
+
 void IoWatch::start(int fd, int events) {
   stop();
   if (events == 0) return;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -99,6 +99,18 @@
   ev_timer watcher_;
 };
 
+// Lets a blocked signal through while it lives.
+class SignalGate {
+ public:
+  explicit SignalGate(int number);
+  ~SignalGate();
+  SignalGate(const SignalGate&) = delete;
+
+ private:
+  void set(int how);
+  const int number_;
+};
+
 class SignalWatch {
  public:
   SignalWatch(Loop& loop, int number, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -46,18 +46,29 @@
 void RegistryWatch::close() {
   patience_.stop();
   next_.stop();
-  out_ = true;  // no further call
+  closed_ = true;  // no further call
   Stream::reset(std::move(stream_));
 }
 
+void RegistryWatch::follow(std::string address) {
+  if (closed_ || address == address_) return;
+  address_ = std::move(address);
+  index_ = 0;
+  out_ = false;
+  patience_.stop();
+  Stream::reset(std::move(stream_));
+  first_ = true;
+  next_.start(0);
+}
+
 void RegistryWatch::track() {
-  if (out_ || next_.active()) return;  // one call out at a time
+  if (closed_ || out_ || next_.active()) return;  // one call out at a time
   first_ = true;
   next_.start(0);
 }
 
 void RegistryWatch::call() {
-  if (out_) return;
+  if (closed_ || out_) return;
   out_ = true;
   body_.clear();
   http_parser_init(&parser_, HTTP_RESPONSE);
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -22,6 +22,9 @@
   ~RegistryWatch() override;
   void on_news(Handler handler) { handler_ = std::move(handler); }
   void close();
+  // The registry has moved: whatever is out at the old address is dropped, and the whole list is asked for at
+  // the new one, which need not count its versions as the old one did.
+  void follow(std::string address);
 
   void track() override;
 
@@ -35,14 +38,14 @@
   void fail(const char* why);
 
   Loop& loop_;
-  const std::string address_;
+  std::string address_;
   std::int64_t index_;
   Handler handler_;
   std::unique_ptr<Stream> stream_;
   TimerWatch patience_, next_;
   http_parser parser_;
   std::string body_;
-  bool out_ = false, complete_ = false, first_ = true;
+  bool out_ = false, closed_ = false, first_ = true;
 };
 
 }  // namespace marblehub::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,14 +1,11 @@
 #include "net/stream.h"
 
-#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 
-#include "config/options.h"
-
 namespace marblehub::net {
 namespace {
 
@@ -17,18 +14,6 @@
 
 }  // namespace
 
-std::optional<sockaddr_in> parse_address(std::string_view text) {
-  std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  std::optional<std::uint16_t> port = config::number_in<std::uint16_t>(text.substr(colon + 1));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  if (!port || inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address.sin_addr) != 1)
-    return std::nullopt;
-  address.sin_port = htons(*port);
-  return address;
-}
-
 Stream::Stream(Loop& loop, Handler& handler)
     : loop_(loop),
       handler_(&handler),
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -14,7 +14,7 @@
 
 using core::Ending;
 
-std::optional<sockaddr_in> parse_address(std::string_view text);  // a.b.c.d:port
+using config::parse_address;
 
 constexpr std::size_t kBacklogBound = 64 * 1024;  // kept for a side that does not read; then the other waits
 
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -11,9 +11,12 @@
 //   c1 ends fin|rst     the program must end it like this
 //   W closed | W mute   refuses calls; answers no probe
 //   registry W STATE    told to the program's watch; registry 503: the next call fails
+//   reload registry     the registry moves to another address, which a new configuration names; SIGHUP
+//   reload PATH JSON    the same with another value; "reload" alone takes the file away, with a text writes it
+//   log TEXT            must come to stand in the log
 //   wait N              milliseconds, and all goes on
 //   quiet c1            nothing may have come
-//   signal NAME         TERM, USR1, KILL
+//   signal NAME         TERM, USR1, HUP
 //   counter NAME N      printed on USR1 or at exit; atleast NAME N: N or more
 //   exit N              the program must exit so
 // clang-format on
@@ -97,8 +100,10 @@
     if (who == "start") return start();
     if (who == "wait") return pump_for(std::stoi(verb));
     if (who == "registry") return tell(verb, rest);
-    if (who == "signal")
-      return program_->signal(verb == "TERM" ? SIGTERM : verb == "KILL" ? SIGKILL : SIGUSR1);
+    if (who == "signal") return program_->signal(verb == "TERM" ? SIGTERM : verb == "HUP" ? SIGHUP : SIGUSR1);
+    if (who == "reload") return reload(verb, rest);
+    if (who == "log")
+      return until([&] { return program_->log().find(text.substr(4)) != std::string::npos; }, kPatience);
     if (who == "exit") return until([&] { return program_->exit_code() == std::stoi(verb); }, kPatience);
     if (who == "counter") return until([&] { return program_->counter(verb) == std::stod(rest); }, kPatience);
     if (who == "atleast")
@@ -169,6 +174,25 @@
     }
     pump();
   }
+  void reload(const std::string& path, const std::string& value) {
+    if (path == "registry") {
+      ::close(registry_fd_);
+      registry_.reset();
+      registry_fd_ = bound(SOCK_STREAM | SOCK_NONBLOCK);
+      ::listen(registry_fd_, 16);
+      program_->config()["discovery"] = text_of(port_of(registry_fd_));
+      whole_ = true;
+    } else if (!value.empty()) {
+      std::string pointer = "/" + path;
+      std::replace(pointer.begin(), pointer.end(), '.', '/');
+      program_->config()[json::json_pointer(pointer)] = json::parse(value);
+    }
+    if (path.empty())
+      program_->remove_config();
+    else
+      program_->write(value.empty() && path != "registry" ? path : program_->config().dump());
+    program_->signal(SIGHUP);
+  }
   // One call out at a time is answered when there is news; a first call at once.
   void serve_registry() {
     int fd = ::accept4(registry_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -182,17 +206,25 @@
     if (fail_next_) {
       registry_->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
       fail_next_ = false;
+    } else if (std::exchange(whole_, false)) {  // a registry that has moved is asked for all it knows
+      REQUIRE(registry_->in.starts_with("GET /registry/instances HTTP"));
+      json all = json::array();
+      for (auto& [name, entry] : entries_) all.push_back(entry);
+      changed_.clear();
+      answer({{"index", ++index_}, {"snapshot", true}, {"endpoints", all}});
     } else if (!changed_.empty()) {
       json body = {
           {"index", ++index_}, {"snapshot", false}, {"endpoints", std::exchange(changed_, json::array())}};
-      std::string text = body.dump();
-      registry_->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" +
-                      text);
+      answer(body);
     } else {
       return;
     }
     registry_->in.clear();
   }
+  void answer(const json& body) {
+    std::string text = body.dump();
+    registry_->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+  }
   void pump() {
     serve_registry();
     for (auto& [name, w] : workers_) {
@@ -254,7 +286,7 @@
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::shared_ptr<Conn>> conns_;
   int registry_fd_, index_ = 1;
-  bool fail_next_ = false;
+  bool fail_next_ = false, whole_ = false;
   rlim_t files_ = 1024;
   std::unique_ptr<Conn> registry_;
   std::unique_ptr<Program> program_;
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -89,16 +89,16 @@
     char folder[] = "/tmp/marblehub-test-XXXXXX";
     if (!mkdtemp(folder)) throw std::runtime_error("no temporary folder");
     folder_ = folder;
-    json config = {{"name", "n0"},
-                   {"listen", text_of(port)},
-                   {"discovery", text_of(registry_port)},
-                   {"seed", "8c1f30d27a5be964"},
-                   {"limits", {{"sockets", 1024}}},
-                   {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", std::move(known)}}},
-                   {"settings", std::move(settings)},
-                   {"quic", quic_file},
-                   {"remote_write", remote_write_file}};
-    std::ofstream(folder_ + "/config.json") << config;
+    config_ = {{"name", "n0"},
+               {"listen", text_of(port)},
+               {"discovery", text_of(registry_port)},
+               {"seed", "8c1f30d27a5be964"},
+               {"limits", {{"sockets", 1024}}},
+               {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", std::move(known)}}},
+               {"settings", std::move(settings)},
+               {"quic", quic_file},
+               {"remote_write", remote_write_file}};
+    write(config_.dump());
     pid_ = fork();
     if (pid_ == 0) {
       setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
@@ -119,6 +119,13 @@
     std::remove((folder_ + "/log").c_str());
     rmdir(folder_.c_str());
   }
+  // The configuration file is replaced as a whole, as an operator does it.
+  void write(const std::string& text) {
+    std::ofstream(folder_ + "/next.json") << text;
+    std::rename((folder_ + "/next.json").c_str(), (folder_ + "/config.json").c_str());
+  }
+  json& config() { return config_; }
+  void remove_config() { std::remove((folder_ + "/config.json").c_str()); }
   void signal(int number) { ::kill(pid_, number); }
   // The exit code; -1 while it runs, 128 and more where a signal ended it.
   int exit_code() {
@@ -150,6 +157,7 @@
 
  private:
   std::string folder_;
+  json config_;
   pid_t pid_ = 0;
 };
 
--- a/tools/application.cpp
+++ b/tools/application.cpp
@@ -77,9 +77,6 @@
 
 void check_start(const Options& options, const std::string& folder, Findings& findings) {
   Startup startup = startup_from(options);
-  for (const auto& [key, address] : {std::pair("listen", startup.listen), {"discovery", startup.registry}})
-    if (!net::parse_address(address))
-      findings.errors.push_back(fmt::format("{}: expected a.b.c.d:port", key));
   for (const auto& [name, kind] :
        {std::pair(startup.quic_file, FileKind::quic), {startup.remote_write_file, FileKind::remote_write}}) {
     std::filesystem::path path = std::filesystem::path(folder) / name;  // an absolute name stands for itself
