Turn bad clients away in time and keep descriptors for those who ask

Checked with a trace of first lines: kIdleBeforeAsking was 30 s and every PING restarted it; accept_all took everyone until EMFILE; is_open_line took "OPEN id fields" for a whole line; a deadline of 23 nines was clamped and served; the id of an open call was served a second time. Ruled out: nan and inf, which number_in refuses already; memory (1 MB of 48); CPU (0.03 s in the worst second).

A client has 2 s to ask, from connecting. Below an eighth of the descriptors, whoever has not asked gives way with BUSY, the oldest first; what came with a connection is read before the next is taken in. Opening lines are read strictly, ids may be open once, whoever speaks before its answer is turned away and its delegation given up. A peer turned away is read 256 KiB and 0.2 s further at most. A connect that fails for our own want is not_sent: it no longer counts as a miss of the worker.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -209,6 +209,7 @@
     if (i < 0) return;
     Backend& b = backends[i];
     b.probe_out = false;
+    if (event.outcome == Outcome::not_sent) return suspect(b);  // it never left here: no word on the backend
     if (event.outcome != Outcome::served) return missed(b);
     if (b.down) chill(b, now), b.restart_unsure = true;  // it may have restarted: the list will tell
     b.down = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -36,11 +36,12 @@
       : path_(std::move(path)),
         startup_(std::move(loaded.startup)),
         values_(std::move(loaded.values)),
+        room_(startup_.sockets),
         probes_(loop_, startup_.settings.connect_timeout_us),
         registry_(loop_, startup_.registry, startup_.known.index),
         dispatcher_(startup_, loop_, probes_, registry_, metrics_),
         workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
-        listener_(loop_, dispatcher_, workers_, address(), metrics_),
+        listener_(loop_, dispatcher_, workers_, address(), room_, metrics_),
         quic_(quic_front()),
         remote_write_(remote_writer()),
         retire_tick_(loop_, [this] { retire_step(); }),
@@ -109,6 +110,7 @@
       for (const std::string& key : config::needs_restart(values_, loaded.values))
         log::warning("{} has changed, which takes a restart to follow", key);
       registry_.follow(loaded.startup.registry);
+      room_.limit(loaded.startup.sockets);
       reloads_.add();
       log::info("configuration reloaded, the registry is {}", loaded.startup.registry);
     } catch (const std::exception& error) {
@@ -147,6 +149,7 @@
   const config::Values values_;  // of the file it was started with
   metrics::Registry metrics_;
   net::Loop loop_;
+  net::Room room_;
   net::Probes probes_;
   net::RegistryWatch registry_;
   core::Dispatcher dispatcher_;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -12,129 +12,203 @@
 namespace {
 
 constexpr Time kAcceptPause = 50'000;
-constexpr Time kIdleBeforeAsking = 30'000'000;  // a client that never asks does not keep its descriptor
+constexpr int kAcceptAtOnce = 16;         // then others have their turn
+constexpr int kClientBuffer = 64 * 1024;  // the system's, for what a client sends faster than it is read
+// A client that has not asked by then is let go, whatever it sends meanwhile: 3 s are allowed.
+constexpr Time kPatience = 2'000'000;
+constexpr std::int64_t kLongestWait = 3'600'000;  // milliseconds; a client says so with what is handed over
+constexpr int kPings = 8;                         // on one connection; a checker needs one
 
 }  // namespace
 
 Listener::Listener(Loop& loop, core::Dispatcher& dispatcher, core::WorkerSide& workers,
-                   const sockaddr_in& address, metrics::Registry& metrics)
+                   const sockaddr_in& address, Room& room, metrics::Registry& metrics)
     : loop_(loop),
       dispatcher_(dispatcher),
       workers_(workers),
+      room_(room),
       fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      io_(loop, [this](int) { accept_all(); }),
+      io_(loop, [this](int) { accept_some(); }),
       pause_(loop, [this] { io_.start(fd_.get(), EV_READ); }),
       accepted_(metrics.counter("marblehub_client_connections_total", "Client connections accepted")),
       full_(metrics.counter("marblehub_accept_pauses_total", "Pauses of accepting for want of descriptors")),
       malformed_(metrics.counter("marblehub_malformed_lines_total", "First lines that no client may send")),
+      silent_(
+          metrics.counter("marblehub_silent_clients_total", "Clients let go that had asked nothing in time")),
+      gave_way_(metrics.counter("marblehub_clients_gave_way_total",
+                                "Clients that had asked nothing yet, closed to keep descriptors for others")),
+      no_room_(metrics.counter("marblehub_no_room_total", "Calls refused for want of a descriptor")),
       pings_(metrics.counter("marblehub_front_pings_total", "PING lines answered")),
       bytes_in_(metrics.counter("marblehub_client_bytes_received_total", "Bytes from clients")),
       bytes_out_(metrics.counter("marblehub_client_bytes_sent_total", "Bytes to clients")) {
   int on = 1;
   setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  setsockopt(fd_.get(), SOL_SOCKET, SO_RCVBUF, &kClientBuffer, sizeof kClientBuffer);
   if (::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
       ::listen(fd_.get(), 1024) != 0)
     throw std::runtime_error("cannot listen on the address given");
+  io_.priority(-1);  // a crowd that connects must not hold up what is being served
   io_.start(fd_.get(), EV_READ);
 }
 
 Listener::~Listener() { links_.clear(); }
 
-void Listener::accept_all() {
-  for (;;) {
-    Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-        // The socket stays readable while no descriptor is free: without a pause the loop would spin.
-        full_.add();
-        io_.stop();
-        pause_.start(kAcceptPause);
-      }
-      return;
-    }
-    accepted_.add();
-    links_.push_back(std::make_unique<ClientLink>(*this, loop_, std::move(fd)));
-    links_.back()->place_ = std::prev(links_.end());
+void Listener::accept_some() {
+  for (int taken = 0; taken < kAcceptAtOnce && fd_; ++taken)
+    if (!accept_one()) return;
+}
+
+bool Listener::accept_one() {
+  make_room();
+  if (room_.none()) {
+    pause();
+    return false;
   }
+  Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (!fd) {
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) pause();
+    return errno == EINTR || errno == ECONNABORTED;
+  }
+  accepted_.add();
+  links_.push_back(std::make_unique<ClientLink>(*this, loop_));
+  ClientLink& link = *links_.back();
+  link.place_ = std::prev(links_.end());
+  link.asking_place_ = asking_.insert(asking_.end(), &link);
+  link.start(std::move(fd));
+  return true;
+}
+
+// Whoever has asked goes before those who only hold a descriptor, and of these the newest: a client that has
+// something to ask does so at once.
+void Listener::make_room() {
+  while (room_.scarce() && !asking_.empty()) asking_.front()->make_way();
+}
+
+// The socket stays readable while no descriptor is free: without a pause the loop would spin.
+void Listener::pause() {
+  full_.add();
+  io_.stop();
+  pause_.start(kAcceptPause);
 }
 
 void Listener::close() {
   if (!fd_) return;
-  accept_all();
+  while (accept_one()) {
+  }
   pause_.stop();
   io_.stop();
   fd_.reset();
 }
 
 void Listener::remove(ClientLink& link) {
-  loop_.bury(std::shared_ptr<ClientLink>(std::move(*link.place_)));
-  links_.erase(link.place_);
+  auto place = link.place_;
+  loop_.bury(std::shared_ptr<ClientLink>(std::move(*place)));
+  links_.erase(place);
 }
 
-ClientLink::ClientLink(Listener& listener, Loop& loop, Fd fd)
+ClientLink::ClientLink(Listener& listener, Loop& loop)
     : listener_(listener),
       from_stream_(*this),
       stream_(std::make_unique<Stream>(loop, from_stream_)),
-      idle_(loop, [this] { close(Ending::finished); }) {
-  idle_.start(kIdleBeforeAsking);
-  stream_->adopt(std::move(fd));
-}
+      patience_(loop, [this] { never_asked(); }) {}
 
 ClientLink::~ClientLink() = default;
 
+// What has come with the connection is read before others are taken in: one that has asked already must not
+// be taken for one that only holds a descriptor.
+void ClientLink::start(Fd fd) {
+  patience_.start(kPatience);
+  stream_->adopt(std::move(fd));
+  stream_->read_now();
+}
+
 // ---- From the socket -------------------------------------------------------------------------------
 
 void ClientLink::received(std::string_view bytes) {
   listener_.bytes_in_.add(static_cast<double>(bytes.size()));
   if (standing_) return forward(bytes);
+  // After its first line a client waits. One that says more has not understood its server, or sends what is
+  // meant for several: a worker must never see it.
+  if (asked_) return malformed();
   in_.append(bytes);
-  if (!asked_) return first_lines();
-  if (in_.size() > kBacklogBound) stream_->read_on(false);  // it may speak on once its answer is there
+  first_lines();
 }
 
 void ClientLink::first_lines() {
   while (!asked_ && stream_) {
     std::size_t end = in_.find('\n');
-    if (std::min(end, in_.size()) >= kLongestLine) {
-      listener_.malformed_.add();
-      return say_and_close("ERR\r\n");
-    }
+    if (std::min(end, in_.size()) >= kLongestLine) return malformed();
     std::optional<std::string> line = take_line(in_);
     if (!line) return;
-    if (*line == "PING") {
-      listener_.pings_.add();
-      listener_.bytes_out_.add(6);
-      stream_->write("PONG\r\n");
-      idle_.start(kIdleBeforeAsking);
-      continue;
-    }
-    core::Dispatcher& dispatcher = listener_.dispatcher_;
-    auto number = [&](std::string_view name) -> double {
-      auto text = field(*line, name);
-      return (text ? config::number_in<double>(*text) : std::nullopt).value_or(-1);
-    };
-    core::Call call;
-    call.request_class = dispatcher.class_named(field(*line, "c").value_or(""));
-    double wait = number("d");
-    std::string_view worker = field(*line, "at").value_or("");
-    if (!is_open_line(*line) || call.request_class < 0 || (wait < 0 && worker.empty())) {
-      listener_.malformed_.add();
-      return say_and_close("ERR\r\n");
-    }
-    call.expires_in = static_cast<Time>(std::clamp(wait, 0.0, 3.6e6) * 1000);
-    call.load_hint = std::max(0.0, number("h"));
-    call.returned = number("again") == 1;
-    call.handed_to = worker;
-    call.opening = std::move(*line);
-    asked_ = true;
-    idle_.stop();
-    exchange_ = &dispatcher.take(std::move(call), *this, listener_.workers_);
-    if (!stream_) exchange_ = nullptr;  // answered from within
-    return;
+    if (*line != "PING") return ask(std::move(*line));
+    if (!ping()) return malformed();
   }
 }
 
+// PINGs do not lengthen the time a client has to ask, and are not answered without end.
+bool ClientLink::ping() {
+  if (++pings_ > kPings) return false;
+  listener_.pings_.add();
+  listener_.bytes_out_.add(6);
+  stream_->write("PONG\r\n");
+  return true;
+}
+
+void ClientLink::ask(std::string line) {
+  core::Dispatcher& dispatcher = listener_.dispatcher_;
+  std::optional<Opening> opening = opening_in(line);
+  int request_class = opening ? dispatcher.class_named(opening->request_class) : -1;
+  if (request_class < 0 || !in_.empty()) return malformed();
+  if (!opening->worker.empty() && !dispatcher.workers().count(std::string(opening->worker)))
+    return malformed();
+  std::string id(opening->id);
+  if (!listener_.open_ids_.insert(id).second) return malformed();  // another client's
+  id_ = std::move(id);
+  stop_asking();
+  asked_ = true;
+  listener_.make_room();
+  if (listener_.room_.none()) {
+    listener_.no_room_.add();
+    return say_and_close("BUSY\r\n");
+  }
+  core::Call call;
+  call.request_class = request_class;
+  call.expires_in = std::min(opening->wait_ms, kLongestWait) * 1000;
+  call.load_hint = opening->load_hint;
+  call.returned = opening->again;
+  call.handed_to = opening->worker;
+  call.opening = std::move(line);
+  exchange_ = &dispatcher.take(std::move(call), *this, listener_.workers_);
+  if (!stream_) exchange_ = nullptr;  // answered from within
+}
+
+void ClientLink::malformed() {
+  listener_.malformed_.add();
+  if (exchange_) exchange_->client_left(Ending::broken);
+  exchange_ = nullptr;
+  if (!stream_) return;
+  constexpr std::string_view words = "ERR\r\n";
+  listener_.bytes_out_.add(static_cast<double>(words.size()));
+  stream_->write(words);
+  end(Stream::turn_away);
+}
+
+void ClientLink::never_asked() {
+  listener_.silent_.add();
+  end(Stream::drop);
+}
+
+void ClientLink::make_way() {
+  listener_.gave_way_.add();
+  stream_->write("BUSY\r\n");
+  end(Stream::drop);
+}
+
+void ClientLink::stop_asking() {
+  patience_.stop();
+  listener_.asking_.erase(asking_place_);
+}
+
 void ClientLink::forward(std::string_view bytes) {
   core::Piece piece{bytes, 0, true};
   for (std::string_view rest = bytes; !rest.empty();) {
@@ -165,8 +239,6 @@
   standing_ = true;
   listener_.bytes_out_.add(static_cast<double>(receipt.size()));
   stream_->write(receipt);
-  stream_->read_on(true);
-  if (!in_.empty()) forward(std::exchange(in_, {}));  // what the client said while it waited
 }
 
 void ClientLink::overload_reply(Time pause) {
@@ -210,10 +282,17 @@
   close(Ending::finished);
 }
 
-void ClientLink::close(Ending ending) {
+void ClientLink::close(Ending ending) { end(ending == Ending::finished ? Stream::finish : Stream::reset); }
+
+// The one place where a client's descriptor, its id and its place in the lists are given back.
+void ClientLink::end(void (*how)(std::unique_ptr<Stream>)) {
   if (!stream_) return;
-  idle_.stop();
-  Stream::end(std::move(stream_), ending);
+  if (asked_) {
+    listener_.open_ids_.erase(id_);
+  } else {
+    stop_asking();
+  }
+  how(std::move(stream_));
   listener_.remove(*this);
 }
 
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -4,9 +4,11 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 #include "core/dispatcher.h"
 #include "net/lines.h"
+#include "net/room.h"
 #include "net/stream.h"
 
 namespace marblehub::net {
@@ -16,30 +18,38 @@
 class Listener {
  public:
   Listener(Loop& loop, core::Dispatcher& dispatcher, core::WorkerSide& workers, const sockaddr_in& address,
-           metrics::Registry& metrics);
+           Room& room, metrics::Registry& metrics);
   ~Listener();
 
   void close();  // takes what has come, then no more
 
  private:
   friend class ClientLink;
-  void accept_all();
+  void accept_some();
+  bool accept_one();
+  void make_room();
+  void pause();
   void remove(ClientLink& link);
 
   Loop& loop_;
   core::Dispatcher& dispatcher_;
   core::WorkerSide& workers_;
+  Room& room_;
   Fd fd_;
   IoWatch io_;
   TimerWatch pause_;
   std::list<std::unique_ptr<ClientLink>> links_;
-  metrics::Metric &accepted_, &full_, &malformed_, &pings_, &bytes_in_, &bytes_out_;
+  std::list<ClientLink*> asking_;             // those that have not asked yet, the oldest first
+  std::unordered_set<std::string> open_ids_;  // of the calls that wait or stand
+  metrics::Metric &accepted_, &full_, &malformed_, &silent_, &gave_way_, &no_room_, &pings_, &bytes_in_,
+      &bytes_out_;
 };
 
 class ClientLink final : public core::ClientSide {
  public:
-  ClientLink(Listener& listener, Loop& loop, Fd fd);
+  ClientLink(Listener& listener, Loop& loop);
   ~ClientLink() override;
+  void start(Fd fd);  // once it has its place in the listener's lists
 
   // From the exchange.
   void established(std::string_view receipt) override;
@@ -67,9 +77,16 @@
   };
 
   void first_lines();
+  bool ping();
+  void ask(std::string line);
+  void malformed();
+  void never_asked();
+  void make_way();
+  void stop_asking();
   void forward(std::string_view bytes);
   void say_and_close(std::string_view line);
   void close(Ending ending);
+  void end(void (*how)(std::unique_ptr<Stream>));
 
   Listener& listener_;
   FromStream from_stream_;
@@ -78,8 +95,11 @@
   bool asked_ = false, standing_ = false, full_told_ = false;
   std::string in_;  // what has come and is not passed on yet
   LineWatch lines_;
-  TimerWatch idle_;  // runs until the client has asked
+  TimerWatch patience_;  // runs until the client has asked, from when it connected
+  int pings_ = 0;
+  std::string id_;  // once it has asked
   std::list<std::unique_ptr<ClientLink>>::iterator place_;
+  std::list<ClientLink*>::iterator asking_place_;
 };
 
 }  // namespace marblehub::net
--- a/src/net/lines.cpp
+++ b/src/net/lines.cpp
@@ -1,6 +1,7 @@
 #include "net/lines.h"
 
 #include <algorithm>
+#include <set>
 
 #include "config/options.h"
 
@@ -8,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kHead = 64;
+constexpr std::size_t kLongestToken = 128;  // of an id or a key
 
 // Begin and length of the value of name=value; fields are set apart by commas, and by spaces from the rest.
 std::optional<std::pair<std::size_t, std::size_t>> find_field(std::string_view line, std::string_view name) {
@@ -54,15 +56,47 @@
   return out;
 }
 
-bool is_open_line(std::string_view line) {
-  if (!line.starts_with("OPEN ")) return false;
-  int parts = 0;
-  for (std::size_t at = 5; at <= line.size(); ++parts) {
-    std::size_t end = std::min(line.find(' ', at), line.size());
-    if (end == at) return false;
-    at = end + 1;
+std::optional<Opening> opening_in(std::string_view line) {
+  auto cut = [](std::string_view& rest, char at) {
+    std::size_t end = std::min(rest.find(at), rest.size());
+    std::string_view part = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    return part;
+  };
+  auto token = [](std::string_view text) {
+    return !text.empty() && text.size() <= kLongestToken &&
+           text.find_first_of("=,") == std::string_view::npos;
+  };
+  if (!std::all_of(line.begin(), line.end(), [](char c) { return c >= ' ' && c <= '~'; }))
+    return std::nullopt;
+  if (cut(line, ' ') != "OPEN") return std::nullopt;
+  Opening opening;
+  opening.id = cut(line, ' ');
+  std::string_view key = cut(line, ' ');
+  if (!token(opening.id) || !token(key) || line.find(' ') != std::string_view::npos) return std::nullopt;
+  std::set<std::string_view> seen;
+  for (bool more = true; more;) {
+    more = line.find(',') != std::string_view::npos;
+    std::string_view value = cut(line, ','), name = cut(value, '=');
+    if (name.empty() || !seen.insert(name).second)
+      return std::nullopt;  // of two, a worker may heed the other
+    if (name == "c") opening.request_class = value;
+    if (name == "at") opening.worker = value;
+    if (name == "again") opening.again = value == "1";
+    if (name == "d") {
+      auto wait = config::number_in<std::int64_t>(value);  // neither nan, inf nor more than a time can hold
+      if (!wait || *wait < 0) return std::nullopt;
+      opening.wait_ms = *wait;
+    }
+    if (name == "h") {
+      auto load = config::number_in<double>(value);
+      if (!load || *load < 0) return std::nullopt;
+      opening.load_hint = *load;
+    }
   }
-  return parts == 2 || parts == 3;
+  bool whole =
+      seen.count("c") && (seen.count("d") || seen.count("at")) && seen.count("at") == !opening.worker.empty();
+  return whole ? std::optional(opening) : std::nullopt;
 }
 
 core::LoadReport report_in(std::string_view line) {
--- a/src/net/lines.h
+++ b/src/net/lines.h
@@ -24,8 +24,18 @@
 // The line with the value of `name` replaced; unchanged where it has none.
 std::string with_field(std::string_view line, std::string_view name, std::string_view value);
 
-// OPEN id key [fields]: whether a client's first line has the form that workers accept.
-bool is_open_line(std::string_view line);
+// A client's first line: OPEN id key fields. Views into the line.
+struct Opening {
+  std::string_view id, request_class;
+  std::int64_t wait_ms = 0;
+  double load_hint = 0;     // 0: none given
+  bool again = false;       // it comes back after a break or a move
+  std::string_view worker;  // that holds it since before the start; else empty
+};
+
+// None where the line is not as workers accept it, whatever it may have been meant to say: such a line must
+// never reach one.
+std::optional<Opening> opening_in(std::string_view line);
 
 // The load at the end of an answer, in the registry's field names.
 core::LoadReport report_in(std::string_view line);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -27,7 +27,9 @@
 }
 
 void Fd::reset() {
-  if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  if (fd_ < 0) return;
+  in_use_ -= 1;
+  ::close(std::exchange(fd_, -1));
 }
 
 Loop::Loop() : loop_(ev_default_loop(EVFLAG_AUTO)) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -16,16 +16,18 @@
 
 class Fd {
  public:
-  explicit Fd(int fd = -1) : fd_(fd) {}
+  explicit Fd(int fd = -1) : fd_(fd) { in_use_ += fd >= 0; }
   Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
   Fd& operator=(Fd&& other) noexcept;
   ~Fd() { reset(); }
   void reset();
   int get() const { return fd_; }
   explicit operator bool() const { return fd_ >= 0; }
+  static std::size_t in_use() { return in_use_; }  // by all that there are
 
  private:
   int fd_;
+  static inline std::size_t in_use_ = 0;
 };
 
 // The loop is also the clock: the system's time at start, carried on by the steady clock.
@@ -72,6 +74,8 @@
   ~IoWatch() { stop(); }
   IoWatch(const IoWatch&) = delete;
   void start(int fd, int events);
+  // Before start. Of what is ready at once, watchers of a higher priority are called first; 0 is the usual.
+  void priority(int level) { ev_set_priority(&watcher_, level); }
   void stop() { ev_io_stop(loop_.raw(), &watcher_); }
   void feed(int events) { ev_feed_event(loop_.raw(), &watcher_, events); }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr std::size_t kReadAtOnce = 16 * 1024;
-constexpr Time kLinger = 1'000'000;
+constexpr Time kLinger = 1'000'000, kBriefLinger = 200'000;
+// A peer that has been answered and goes on sending at full speed is read no further than this.
+constexpr std::size_t kDiscarded = 256 * 1024;
 
 }  // namespace
 
@@ -32,7 +34,7 @@
   fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   state_ = State::connecting;
   if (!fd_) {
-    broken_ = true;
+    broken_ = unsent_ = true;
     io_.feed(EV_WRITE);
     return;
   }
@@ -40,6 +42,7 @@
   setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
     broken_ = true;
+    unsent_ = errno == EADDRNOTAVAIL || errno == EAGAIN || errno == ENOBUFS || errno == ENOMEM;
     io_.feed(EV_WRITE);
     return;
   }
@@ -130,7 +133,9 @@
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
   if (n < 0) return fail(Ending::broken);
   if (n == 0) return fail(Ending::finished);
-  if (handler_) handler_->received(std::string_view(buffer, static_cast<std::size_t>(n)));
+  if (handler_) return handler_->received(std::string_view(buffer, static_cast<std::size_t>(n)));
+  discarded_ += static_cast<std::size_t>(n);
+  if (discarded_ > kDiscarded) release();
 }
 
 void Stream::settle() {
@@ -139,35 +144,40 @@
   ::shutdown(fd_.get(), SHUT_WR);
 }
 
-void Stream::finish(std::unique_ptr<Stream> stream) {
+void Stream::finish(std::unique_ptr<Stream> stream) { linger(std::move(stream), kLinger); }
+
+void Stream::turn_away(std::unique_ptr<Stream> stream) { linger(std::move(stream), kBriefLinger); }
+
+void Stream::drop(std::unique_ptr<Stream> stream) {
+  if (!stream) return;
+  stream->handler_ = nullptr;
+  stream->state_ = State::closed;
+  stream->io_.stop();
+  stream->fd_.reset();
+  Loop& loop = stream->loop_;
+  loop.bury(std::shared_ptr<Stream>(std::move(stream)));
+}
+
+void Stream::linger(std::unique_ptr<Stream> stream, Time span) {
   if (!stream) return;
   Stream& s = *stream;
   s.handler_ = nullptr;
-  if (s.state_ != State::open || s.broken_) {
-    s.io_.stop();
-    s.state_ = State::closed;
-    s.fd_.reset();
-    s.loop_.bury(std::shared_ptr<Stream>(std::move(stream)));
-    return;
-  }
+  if (s.state_ != State::open || s.broken_) return drop(std::move(stream));
   s.lingering_ = true;
   s.loop_.keep(std::shared_ptr<Stream>(std::move(stream)));
   s.reading_ = true;
   s.watch();
   s.settle();
-  s.linger_.start(kLinger);
+  s.linger_.start(span);
 }
 
 void Stream::reset(std::unique_ptr<Stream> stream) {
   if (!stream) return;
-  linger hard{1, 0};
+  struct linger hard {
+    1, 0
+  };
   if (stream->fd_) setsockopt(stream->fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-  stream->handler_ = nullptr;
-  stream->state_ = State::closed;
-  stream->io_.stop();
-  stream->fd_.reset();
-  Loop& loop = stream->loop_;
-  loop.bury(std::shared_ptr<Stream>(std::move(stream)));
+  drop(std::move(stream));
 }
 
 void Stream::end(std::unique_ptr<Stream> stream, Ending ending) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -33,14 +33,22 @@
   ~Stream() = default;
 
   void adopt(Fd fd);
+  void read_now() {
+    on_io(EV_READ);
+  }  // what has come already, without waiting for the loop; only after adopt
   void connect(const sockaddr_in& to);  // a failure is told as an ending
   void write(std::string_view bytes);
   void read_on(bool on);
   std::size_t backlog() const { return out_.size() - sent_; }
+  bool unsent() const { return unsent_; }  // a connect that failed here, for want of a descriptor or the like
 
   // Ends the stream for its handler. In order: what is left goes out, then FIN, and the peer has a moment to
   // read it; a close with unread input would make the kernel send a reset that overtakes the last line.
   static void finish(std::unique_ptr<Stream> stream);
+  // The same for a peer that is turned away: it gets less of our time and descriptors.
+  static void turn_away(std::unique_ptr<Stream> stream);
+  // Closes at once: what is written goes out, but the descriptor is free right away.
+  static void drop(std::unique_ptr<Stream> stream);
   static void reset(std::unique_ptr<Stream> stream);
   static void end(std::unique_ptr<Stream> stream, Ending ending);  // the one or the other
 
@@ -52,6 +60,7 @@
   void fail(Ending ending);
   void watch();
   void settle();
+  static void linger(std::unique_ptr<Stream> stream, Time span);
   void release();
 
   Loop& loop_;
@@ -60,10 +69,11 @@
   IoWatch io_;
   TimerWatch linger_;
   State state_ = State::idle;
-  bool reading_ = true, shut_ = false, broken_ = false, wrote_all_ = true;
+  bool reading_ = true, shut_ = false, broken_ = false, wrote_all_ = true, unsent_ = false;
   std::string out_;
   std::size_t sent_ = 0;
-  bool lingering_ = false;  // given up by its handler; the loop keeps it until it is done
+  std::size_t discarded_ = 0;  // read from the peer since its handler gave it up
+  bool lingering_ = false;     // given up by its handler; the loop keeps it until it is done
 };
 
 }  // namespace marblehub::net
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -77,6 +77,7 @@
     connect_timer_.stop();
     if (!exchange_) return;
     if (up_) return over(closing_, ending);
+    if (stream_->unsent()) return over(Outcome::not_sent, ending);  // our own want, not the worker's fault
     over(asked_ && stream_->backlog() == 0 ? Outcome::reset : Outcome::connect_failed, ending);
   }
 
@@ -226,8 +227,10 @@
     end(pong ? Outcome::served : Outcome::error, report_in(*line));
   }
   void ended(Ending) override {
+    bool unsent = stream_->unsent();
     drop();
     if (!waiting_) return;
+    if (unsent) return end(Outcome::not_sent, {});
     // A kept connection may have been closed by the worker just now: that says nothing of its health.
     if (std::exchange(reused_, false)) return ask();
     end(connected_ ? Outcome::reset : Outcome::connect_failed, {});
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -4,11 +4,11 @@
 //   files N             descriptors allowed, before the start
 //   worker W            a stand-in worker
 //   start               starts the program
-//   c1 > TEXT           c1 connects if need be and sends a line; >> sends no line end
+//   c1 > TEXT           c1 connects if need be and sends a line; >> sends no line end; ~n~ is one
 //   c1 < TEXT [N]       must come next, within N ms; ~ stands for digits
 //   W.1 < TEXT          the same at W's first call; W.1 > TEXT is its answer
 //   c1 fin | c1 rst     ends its side
-//   c1 ends fin|rst     the program must end it like this
+//   c1 ends fin|rst [N] the program must end it like this, within N ms
 //   W closed | W mute   refuses calls; answers no probe
 //   registry W STATE    told to the program's watch; registry 503: the next call fails
 //   reload registry     the registry moves to another address, which a new configuration names; SIGHUP
@@ -125,13 +125,17 @@
       if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
       return;
     }
+    for (std::size_t at; verb[0] == '>' && (at = rest.find("~n~")) != std::string::npos;)
+      rest.replace(at, 3, "\r\n");
     if (verb == ">" || verb == ">>") return conn(who).send(rest + (verb == ">" ? "\r\n" : ""));
     if (verb == "<") return expect(who, rest);
     if (verb == "fin") return void(::shutdown(conn(who).fd, SHUT_WR));
     if (verb == "rst") return conn(who).reset();
     if (verb == "ends") {
       Conn& c = conn(who);
-      until([&] { return c.in.empty() && c.end == (rest == "fin" ? Conn::fin : Conn::rst); }, kPatience);
+      std::size_t limit = rest.find(" [");
+      until([&] { return c.in.empty() && c.end == (rest.starts_with("fin") ? Conn::fin : Conn::rst); },
+            limit == std::string::npos ? kPatience : std::stoi(rest.substr(limit + 2)));
       return;
     }
     FAIL("a line that is not understood: " << text);
@@ -354,4 +358,33 @@
   ::close(worker);
 }
 
+// The lingering close would else read all of it, and hold a descriptor meanwhile.
+TEST_CASE("60 MB without a line end are an error at once, and are not read to the end") {
+  json own = settings();
+  own["limits"]["probes"] = false;
+  Program program(json::array(), own, free_port(SOCK_STREAM));
+  int client = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to = loopback(program.port);
+  REQUIRE(::connect(client, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  std::string block(1 << 20, 'k'), got;
+  std::int64_t began = now_ms();
+  std::size_t sent = 0;
+  while (sent < 60u << 20) {
+    ssize_t n = ::send(client, block.data(), block.size(), MSG_NOSIGNAL);
+    if (n <= 0) break;
+    sent += static_cast<std::size_t>(n);
+  }
+  char buffer[64];
+  for (ssize_t n; (n = ::recv(client, buffer, sizeof buffer, 0)) > 0;)
+    got.append(buffer, static_cast<std::size_t>(n));
+  CHECK(got == "ERR\r\n");
+  CHECK(now_ms() - began < 1000);
+  CHECK(sent < 60u << 20);
+  CHECK(program.resident_kb() < 192 * 1024);
+  program.signal(SIGUSR1);
+  usleep(100000);
+  CHECK(program.counter("marblehub_client_bytes_received_total") <= 32 * 1024);
+  ::close(client);
+}
+
 }  // namespace marblehub::test
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -104,6 +104,7 @@
       setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
       rlimit limit{files, files};
       setrlimit(RLIMIT_NOFILE, &limit);
+      close_range(3, ~0U, 0);  // so that it begins with the same descriptors wherever the test runs
       if (!freopen((folder_ + "/log").c_str(), "w", stderr)) _exit(126);
       execl(MARBLEHUB_PROGRAM, "marblehub", nullptr);
       _exit(127);
