Keep groups together, place by reported room, and leave out stuck workers

Checked and ruled out: crossing zones (a lower toll changes nothing), more probes, a longer mean of recents, moving less by time. At fault: RequestEvent had no group; NoteEvent and worsen took any figure; late_part counted what hangs; the blend saw reports only as a few ms of latency.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -217,13 +217,13 @@
     fields.number_or_absent<std::uint64_t>("a key or -");
     request.expires_in = fields.number_or_absent<Time>("the time that is left");
     request.load_hint = fields.number_or_absent<double>("a load hint or -");
-    fields.number_or_absent<std::uint64_t>("a room or -");
+    request.group = fields.number_or_absent<std::uint64_t>("a room or -");
     bits = read_bits();
     *backend = fields.text("a backend");
   } else {
     bits = read_bits();
     fields.number_or_absent<std::uint64_t>("a key or -");
-    fields.number_or_absent<std::uint64_t>("a room or -");
+    request.group = fields.number_or_absent<std::uint64_t>("a room or -");
     fields.text("a tenant or -");
     request.load_hint = fields.number_or_absent<double>("a load hint or -");
     read_class();
--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -37,6 +37,7 @@
   int me = 0;         // this relay's number among them, from 0
   std::string zone;
   bool ask_registry = false;  // the backend list must be asked for
+  bool groups = false;        // a backend that holds any connection of a group pays for the group once
   std::vector<RequestClass> classes;
 
   int max_attempts = 1;
@@ -81,6 +82,7 @@
   Time expires_in = 0;    // until the client gives this try up
   double load_hint = 0;   // work a second that it will ask for; 0: unknown
   bool returned = false;  // the client comes back after a break or a move
+  std::uint64_t group = 0;  // of connections that share work on a backend; 0: none
 };
 
 struct HandoverEvent {  // a connection already open at start: attempt 0 stands at the backend
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -13,6 +13,7 @@
   s.me = options.number<int>("me", 0);
   s.zone = options.text("zone");
   s.ask_registry = options.choice<bool>("registry_mode", {{"push", false}, {"ask", true}});
+  if (options.find("specifics.groups")) s.groups = options.flag("specifics.groups");
   s.max_attempts = options.number<int>("limits.max_attempts", 1);
   s.may_probe = options.flag("limits.probes");
   s.may_decline_with_pause = options.flag("limits.retry_after");
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -97,7 +97,7 @@
   }
   timers_.push({exchange.deadline_, Due::deadline, id});
   const Call& c = exchange.call();
-  tell(RequestEvent{id, c.request_class, c.expires_in, c.load_hint, c.returned});
+  tell(RequestEvent{id, c.request_class, c.expires_in, c.load_hint, c.returned, c.group});
   return exchange;
 }
 
@@ -145,7 +145,7 @@
   if (exchange.handed_tries_ > 0) {
     exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
     const Call& c = exchange.call();
-    tell(HandoverEvent{{exchange.id_, c.request_class, c.expires_in, c.load_hint, c.returned},
+    tell(HandoverEvent{{exchange.id_, c.request_class, c.expires_in, c.load_hint, c.returned, c.group},
                        exchange.worker_});
     return;
   }
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -17,8 +17,9 @@
   Time expires_in = 0;
   double load_hint = 0;
   bool returned = false;
-  std::string opening;    // what the client began with; the front's own
-  std::string handed_to;  // the worker that holds it since before the start; else empty
+  std::uint64_t group = 0;  // of calls that share work on a worker; 0: none
+  std::string opening;      // what the client began with; the front's own
+  std::string handed_to;    // the worker that holds it since before the start; else empty
 };
 
 class Exchange {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t kWindow = 20;           // timings in the mean
 constexpr int kMisses = 3;                    // in a row before a backend is down
 constexpr double kActiveShare = 0.25, kRecentShare = 0.25, kLatencyShare = 0.5;
-constexpr double kSharpness = 4;              // a backend half as good by the blend draws 1/16 as often
+constexpr double kSharpness = 6;              // a backend half as good by the blend draws 1/16 as often
 constexpr Time kRecentMemory = 10 * kSecond;  // connections count as new for about so long
 constexpr double kToll = 8;                   // crossing zones counts as latency: price x aim x this
 
@@ -30,16 +30,25 @@
 constexpr double kSampleRelays = 8;  // relays a backend: enough that one relay's crowd does not fill it
 constexpr double kOutside = 0.0005;  // weight outside the sample: a way out when all of it is in trouble
 
+// Groups. A backend pays for a group once, whether it holds one connection of it or all.
+constexpr double kGroupSlack = 1.2;  // the part of the fleet that a group keeps to, over its share
+constexpr double kGroupLeast = 2;    // backends of the usual size, should one of them fail
+constexpr double kGroupLate = 0.7;   // later than this part of the wanted time: the next takes its place
+constexpr Time kGroupMemory = 30 * kSecond;  // shares are taken over so long
+
 // Probing.
 constexpr double kProbeBudget = 0.005;  // points that probes may cost: half of one in a hundred
 constexpr double kProbesASecond = 20;   // on one backend from all relays: some % of a core at most
 constexpr double kHeldProbes = 8;       // a backend that holds our connections is probed so much oftener
-constexpr Time kLateRecheck = kSecond;  // one whose report says that messages come late
-constexpr Time kRecheck = 200 * kMillisecond;  // a suspect is probed again so soon
+constexpr Time kLateRecheck = 500 * kMillisecond;  // one whose report says that messages come late
+constexpr Time kRecheck = 200 * kMillisecond;      // a suspect is probed again so soon
 
 // Signs of slowness.
 constexpr Time kEvidenceMemory = 10 * kSecond;  // one fades over about so long
-constexpr Time kReportMemory = 15 * kSecond;    // a load report is rarer and says more
+constexpr Time kReportMemory = 6 * kSecond;     // a load report is rarer and says more
+constexpr double kMostEvidence = 4;             // times the wanted time
+constexpr double kRoom = 6, kLeastRoom = 0.02;  // what is left of its capacity counts to this power
+constexpr double kStuck = 4;                    // times its capacity: far over what clients ask for
 constexpr Time kNews = 2 * kSecond;             // only newer signs move connections
 constexpr Time kAdmissionNews = 5 * kSecond;    // or shut clients out
 
@@ -52,8 +61,8 @@
 constexpr Time kMoveOffDead = kSecond;         // a connection leaves a down backend within about so long
 constexpr Time kMoveOffLeaving = 3 * kSecond;  // all are off a draining one by then, evenly spread
 constexpr Time kMoveOffSlow = 5 * kSecond;     // and one whose messages are late within about so long
-constexpr double kMoveFrom = 0.4;   // a backend counts as filling up from this part of the wanted time
-constexpr double kPressure = 0.25;  // when more than this part of the fleet is late, fewer are let in
+constexpr double kMoveFrom = 0.8;   // a backend counts as filling up from this part of the wanted time
+constexpr double kPressure = 0.15;  // when more than this part of the fleet is late, fewer are let in
 
 }  // namespace
 
@@ -65,6 +74,8 @@
   std::vector<Backend> backends;  // never shrinks: an index stays good
   std::unordered_map<std::string, int> index;
   std::map<std::uint64_t, Request> requests;
+  std::map<std::uint64_t, Group> groups;
+  Faded groups_asked;
   double usual_load = 0;  // mean load hinted or noted, to count connections in usual ones
   double requests_seen = 0;
   Faded fresh_flow;             // load of new connections accepted; those that come back do not count
@@ -124,6 +135,7 @@
     if (fresh) {
       backends.emplace_back();
       backends.back().address = entry.address;
+      backends.back().hash = hash_of(entry.address);
       backends.back().probe_due = now + up_to(probe_interval());
     }
     Backend& b = backends[it->second];
@@ -211,7 +223,8 @@
     b.probe_out = false;
     if (event.outcome == Outcome::not_sent) return suspect(b);  // it never left here: no word on the backend
     if (event.outcome != Outcome::served) return missed(b);
-    if (b.down) chill(b, now), b.restart_unsure = true;  // it may have restarted: the list will tell
+    // What was said of it while it was down is over; it may have restarted: the list will tell.
+    if (b.down) b.evidence = b.report = Faded(), chill(b, now), b.restart_unsure = true;
     b.down = false;
     b.misses = 0;
     double ms = static_cast<double>(event.rtt) / kMillisecond;
@@ -232,7 +245,9 @@
   void suspect(Backend& b) { b.probe_due = std::min(b.probe_due, now + jittered(kRecheck)); }
 
   // Shallow probes say little of slowness. What a message, a set-up or a report says of it counts as latency.
-  void worsen(Backend& b, double ms) { b.evidence.set(std::max(evidence(b), ms), now); }
+  // A hung one is said to take seconds: unbounded, such a sign would outlast the trouble by half a minute.
+  double capped(double ms) const { return std::min(ms, kMostEvidence * shortest_aim_ms); }
+  void worsen(Backend& b, double ms) { b.evidence.set(capped(std::max(evidence(b), ms)), now); }
   double evidence(const Backend& b) const {
     return std::max(b.evidence.at(now, kEvidenceMemory), b.report.at(now, kReportMemory));
   }
@@ -245,7 +260,8 @@
   // Waiting grows as spare capacity vanishes: 0.4 of the wanted time at a load of 0.85, all of it at 0.93.
   void note_report(Backend& b, const LoadReport& report) {
     if (report.load < 0) return;
-    b.report.set(shortest_aim_ms * 0.07 * report.load / std::max(0.05, 1 - report.load), now);
+    b.level = report.load;
+    b.report.set(capped(shortest_aim_ms * 0.07 * report.load / std::max(0.05, 1 - report.load)), now);
     // On sockets no message tells of its delay; only the next report says whether moving has helped.
     if (b.active > 0 && b.report.value >= kMoveFrom * shortest_aim_ms)
       b.probe_due = std::min(b.probe_due, now + jittered(kLateRecheck));
@@ -265,6 +281,48 @@
     return true;
   }
 
+  static std::uint64_t mixed(std::uint64_t x) {
+    x ^= x >> 33, x *= 0xff51afd7ed558ccd, x ^= x >> 33, x *= 0xc4ceb9fe1a85ec53;
+    return x ^ x >> 33;
+  }
+  static std::uint64_t hash_of(const std::string& text) {
+    std::uint64_t h = 0xcbf29ce484222325;
+    for (unsigned char c : text) h = (h ^ c) * 0x100000001b3;
+    return mixed(h);
+  }
+
+  // Which of the backends a request's group keeps to: so many that they hold its share of the connections
+  // with some to spare, in an order that the group and the backends' names give. All relays come to the same
+  // ones without knowing of each other, and little changes when a backend comes or goes. One that is late,
+  // down or cold gives its place to the next.
+  std::vector<char> home(const Request& r, const std::vector<int>& may) {
+    std::vector<char> in(may.size(), 1);
+    if (r.group == 0) return in;
+    std::vector<std::pair<double, std::size_t>> ranked;
+    double scales = 0, least = 0;
+    for (std::size_t k = 0; k < may.size(); ++k) {
+      const Backend& b = backends[may[k]];
+      if (b.down) continue;
+      scales += b.scale, least += 1;
+      in[k] = 0;
+      if (warmth(b) < 1 && b.cold_tokens <= 0) continue;
+      if (evidence(b) > kGroupLate * shortest_aim_ms) continue;
+      double u = (static_cast<double>(mixed(b.hash ^ r.group) >> 11) + 1) * 0x1p-53;
+      ranked.emplace_back(-std::log(u) / b.scale, k);
+    }
+    if (least == 0) return in;
+    std::sort(ranked.begin(), ranked.end());
+    double share =
+        groups[r.group].asked.at(now, kGroupMemory) / std::max(1.0, groups_asked.at(now, kGroupMemory));
+    double need = std::max(kGroupLeast / least, kGroupSlack * share) * scales;
+    for (auto [score, k] : ranked) {
+      if (need <= 0) break;
+      need -= backends[may[k]].scale;
+      in[k] = 1;
+    }
+    return in;
+  }
+
   // Draws a backend by the blend of active counts, recent connections and latency; -1: none may be used.
   int pick(const Request& r) {
     std::vector<int> may;
@@ -292,6 +350,7 @@
     double toll = kToll * settings.price_cross_zone * shortest_aim_ms;
     double total = 0;
     std::vector<double> weight(may.size());
+    std::vector<char> at_home = home(r, may);
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
       if (b.down) continue;
@@ -303,8 +362,10 @@
       double quick = (best + soften) / (ms + soften);
       double blend = kActiveShare * few_active + kRecentShare * few_recent + kLatencyShare * quick;
       weight[k] = b.scale * std::pow(blend, kSharpness) * std::pow(0.25, b.misses);
+      weight[k] *= std::pow(std::clamp(1 - b.level, kLeastRoom, 1.0), kRoom);
       if (warmth(b) < 1 && b.cold_tokens <= 0) weight[k] = 0;
       if (!b.sampled) weight[k] *= kOutside;
+      if (!at_home[k]) weight[k] *= kOutside;
       if (std::find(r.tried.begin(), r.tried.end(), may[k]) != r.tried.end()) weight[k] *= 1e-6;
       total += weight[k];
     }
@@ -361,6 +422,11 @@
     r.request_class = event.request_class;
     r.deadline = now + event.expires_in;
     r.returned = event.returned;
+    if (settings.groups && event.group != 0) {
+      r.group = event.group;
+      groups[r.group].asked.add(1, now, kGroupMemory);
+      groups_asked.add(1, now, kGroupMemory);
+    }
     if (event.load_hint > 0) r.load = event.load_hint / learn_usual(event.load_hint);
     return r;
   }
@@ -491,7 +557,7 @@
     if (!r) return;
     Backend& b = backends[r->backend];
     if (event.kind == NoteKind::messages_slow) {
-      b.evidence.set(event.level, now);
+      b.evidence.set(capped(event.level), now);
     } else if (event.level > 0) {
       double load = event.level / learn_usual(event.level);
       if (r->counted) b.load = std::max(0.0, b.load + load - r->load);
@@ -518,7 +584,8 @@
     }
     double lateness = std::min(1.0, evidence(b) / shortest_aim_ms);
     if (lateness < kMoveFrom || !fresh(b, kNews)) lateness = 0;
-    double rate = b.down ? 1.0 / kMoveOffDead : lateness * lateness * std::min(2.0, r.load) / kMoveOffSlow;
+    double rate =
+        b.down || stuck(b) ? 1.0 / kMoveOffDead : lateness * lateness * std::min(2.0, r.load) / kMoveOffSlow;
     return uniform() < rate * kSweep && room_elsewhere();
   }
 
@@ -529,11 +596,16 @@
 
   bool room_elsewhere() const { return late_part(true) <= 0.5 || (admitted < 1 && late_part(false) > 0); }
 
+  // One that hangs may still answer probes, and so is not down, but asked for many times what it can do. It
+  // is no sign that the others are short of room.
+  bool stuck(const Backend& b) const { return b.level > kStuck; }
+
   // The part of what this relay can judge of the fleet where messages come too late or not at all.
   double late_part(bool with_down) const {
     double late = 0, judged = 0, scales = 0, listed = 0;
     for (const Backend& b : backends) {
       if (!b.listed || b.draining || (b.down && !with_down)) continue;
+      if (!with_down && stuck(b)) continue;
       scales += b.scale, listed += 1;
       if (b.active == 0 && !b.down && evidence(b) < 1) continue;
       judged += b.scale;
@@ -547,7 +619,7 @@
   void adapt_admission() {
     double late = late_part(false);
     admitted =
-        late > kPressure ? std::max(0.05, admitted * (1 - 0.02 * late)) : std::min(1.0, admitted + 0.005);
+        late > kPressure ? std::max(0.05, admitted * (1 - 0.1 * late)) : std::min(1.0, admitted + 0.005);
   }
 
   void sweep() {
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -176,6 +176,7 @@
   call.expires_in = std::min(opening->wait_ms, kLongestWait) * 1000;
   call.load_hint = opening->load_hint;
   call.returned = opening->again;
+  call.group = opening->group.empty() ? 0 : number_for(opening->group);
   call.handed_to = opening->worker;
   call.opening = std::move(line);
   exchange_ = &dispatcher.take(std::move(call), *this, listener_.workers_);
--- a/src/net/lines.cpp
+++ b/src/net/lines.cpp
@@ -81,6 +81,7 @@
     if (name.empty() || !seen.insert(name).second)
       return std::nullopt;  // of two, a worker may heed the other
     if (name == "c") opening.request_class = value;
+    if (name == "g") opening.group = value;
     if (name == "at") opening.worker = value;
     if (name == "again") opening.again = value == "1";
     if (name == "d") {
@@ -99,6 +100,12 @@
   return whole ? std::optional(opening) : std::nullopt;
 }
 
+std::uint64_t number_for(std::string_view name) {
+  std::uint64_t h = 0xcbf29ce484222325;  // FNV-1a
+  for (unsigned char c : name) h = (h ^ c) * 0x100000001b3;
+  return h | 1;
+}
+
 core::LoadReport report_in(std::string_view line) {
   core::LoadReport report;
   auto figure = [&](std::string_view name) -> double {
--- a/src/net/lines.h
+++ b/src/net/lines.h
@@ -29,6 +29,7 @@
   std::string_view id, request_class;
   std::int64_t wait_ms = 0;
   double load_hint = 0;     // 0: none given
+  std::string_view group;   // the client, or the group it belongs to; empty: none
   bool again = false;       // it comes back after a break or a move
   std::string_view worker;  // that holds it since before the start; else empty
 };
@@ -37,6 +38,9 @@
 // never reach one.
 std::optional<Opening> opening_in(std::string_view line);
 
+// A number that stands for a name: the same at every balancer, and never 0.
+std::uint64_t number_for(std::string_view name);
+
 // The load at the end of an answer, in the registry's field names.
 core::LoadReport report_in(std::string_view line);
 
--- a/src/state.h
+++ b/src/state.h
@@ -23,6 +23,7 @@
 
 struct Backend {
   std::string address, zone;
+  std::uint64_t hash = 0;  // of the address: the same at every relay
   std::int64_t cell = -1;
   double scale = 1;
   bool listed = false, draining = false;
@@ -43,16 +44,23 @@
   bool probe_out = false;
   Time probe_due = 0;
 
-  int active = 0;   // connections accepted here
-  double load = 0;  // their load, in usual connections
-  Faded recent;     // load of new connections sent here
-  Faded evidence;   // ms that a message is said to take here
-  Faded report;     // the same from the last load report
+  int active = 0;    // connections accepted here
+  double load = 0;   // their load, in usual connections
+  Faded recent;      // load of new connections sent here
+  Faded evidence;    // ms that a message is said to take here
+  double level = 0;  // load over capacity, as last reported
+  Faded report;      // the same from the last load report
+};
+
+// Connections that share work wherever any of them is held.
+struct Group {
+  Faded asked;  // connections asked for
 };
 
 struct Request {
   int request_class = 0;
   Time deadline = 0;
+  std::uint64_t group = 0;
   double load = 1;  // in usual connections
   int attempts = 0;
   int backend = -1;       // of the latest attempt
--- /dev/null
+++ b/tests/placing_test.cpp
@@ -0,0 +1,132 @@
+// Where the module places connections, and when it lets fewer in.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "net/lines.h"
+#include "support/module_bench.h"
+
+namespace marblehub::test {
+namespace {
+
+Settings grouped() {
+  Settings s = Bench::settings();
+  s.groups = true;
+  return s;
+}
+
+}  // namespace
+
+// Each worker that holds any of a group pays for the group: scattered over all, groups cost more than
+// clients.
+TEST_CASE("a group keeps to a few workers, and all balancers come to the same ones") {
+  std::map<std::uint64_t, std::set<std::string>> by_group;
+  for (int me = 0; me < 3; ++me) {
+    Settings s = grouped();
+    s.balancers = 3, s.me = me;
+    Bench b(s, 100 + static_cast<std::uint64_t>(me));
+    b.list(ListForm::all, twelve());
+    for (std::uint64_t group = 1; group <= 5; ++group) b.hold("1", 8, group);  // all groups are known
+    for (int i = 0; i < 100; ++i) {
+      std::uint64_t group = 1 + static_cast<std::uint64_t>(i) % 5;
+      by_group[group].insert(b.ask(group));
+    }
+  }
+  for (auto& [group, workers] : by_group) {
+    CHECK(workers.size() >= 2);
+    CHECK(workers.size() <= 5);  // of 12, though three balancers placed 60 of it
+  }
+}
+
+TEST_CASE("where the settings know of no groups, connections spread over all workers") {
+  Bench b;
+  b.list(ListForm::all, twelve());
+  std::set<std::string> workers;
+  for (int i = 0; i < 200; ++i) workers.insert(b.ask(7));
+  CHECK(workers.size() == 12);
+}
+
+TEST_CASE("a group whose workers are late or down goes on to others") {
+  Bench b(grouped());
+  b.list(ListForm::all, twelve());
+  for (std::uint64_t group = 1; group <= 5; ++group) b.hold("1", 8, group);
+  std::set<std::string> home, next;
+  for (int i = 0; i < 60; ++i) home.insert(b.ask(3));
+  for (const std::string& worker : home) b.report(worker, 0.97);
+  for (int i = 0; i < 60; ++i) next.insert(b.ask(3));
+  for (const std::string& worker : home) CHECK(next.count(worker) == 0);
+  CHECK(next.count("") == 0);
+}
+
+TEST_CASE("a worker that reports little room gets few connections") {
+  Bench b;
+  b.list(ListForm::all, {b.entry("w1", Health::serving), b.entry("w2", Health::serving)});
+  b.report("w1", 0.75);
+  b.report("w2", 0.25);
+  int fuller = 0;
+  for (int i = 0; i < 50; ++i) fuller += b.ask() == "w1";
+  CHECK(fuller <= 5);
+}
+
+// A worker that hangs answers probes beside its queue: it is not down, and was taken for a sign of a full
+// fleet.
+TEST_CASE("a stuck worker is left within seconds, and no client is refused for it") {
+  Bench b;
+  b.list(ListForm::all,
+         {b.entry("w1", Health::serving), b.entry("w2", Health::serving), b.entry("w3", Health::serving)});
+  b.hold("w1", 10);
+  b.hold("w2", 10);
+  b.hold("w3", 10);
+  for (int i = 0; i < 50; ++i) {
+    b.report("w1", 9);
+    b.report("w2", 0.3);
+    b.report("w3", 0.3);
+    b.run(100'000);
+    CHECK(b.ask() != "w1");
+  }
+  CHECK(b.declined.empty());
+  CHECK(b.moved.size() == 10);
+}
+
+// A message that hung for half a minute must not shut its worker out for as long again.
+TEST_CASE("signs of slowness are bounded, and end when a worker comes back from being down") {
+  Bench b;
+  b.list(ListForm::all, {b.entry("w1", Health::serving), b.entry("w2", Health::serving)});
+  b.report("w1", 0.1);
+  b.report("w2", 0.1);
+  b.hold("w1", 1);
+  b.handle(NoteEvent{1, 0, NoteKind::messages_slow, 30'000});
+  b.run(40'000'000);
+  int again = 0;
+  for (int i = 0; i < 100; ++i) again += b.ask() == "w1";
+  CHECK(again >= 20);
+
+  Bench c;
+  c.list(ListForm::all, {c.entry("w1", Health::serving), c.entry("w2", Health::serving)});
+  c.hold("w1", 1);
+  c.handle(NoteEvent{1, 0, NoteKind::messages_slow, 30'000});
+  for (int i = 0; i < 3; ++i) c.handle(ProbeResultEvent{"w1", 500'000, Outcome::timeout, {}});
+  REQUIRE(c.balancer.counts().down == 1);
+  c.report("w1", 0.1);
+  c.run(6'000'000);
+  again = 0;
+  for (int i = 0; i < 100; ++i) again += c.ask() == "w1";
+  CHECK(again >= 20);
+}
+
+// A balancer without a free descriptor must not hold its own want against the workers.
+TEST_CASE("a probe that was never sent is no miss") {
+  Bench b;
+  b.list(ListForm::all, {b.entry("w1", Health::serving)});
+  for (int i = 0; i < 5; ++i) b.handle(ProbeResultEvent{"w1", 0, Outcome::not_sent, {}});
+  CHECK(b.balancer.counts().down == 0);
+}
+
+TEST_CASE("the group of an opening line is the same number everywhere") {
+  auto opening = net::opening_in("OPEN 9b1f 7f3a c=chat,d=2000,g=5c0f6e1a2b3d4c59");
+  REQUIRE(opening);
+  CHECK(opening->group == "5c0f6e1a2b3d4c59");
+  CHECK(net::number_for(opening->group) == net::number_for("5c0f6e1a2b3d4c59"));
+  CHECK(net::number_for("5c0f6e1a2b3d4c59") != net::number_for("5c0f6e1a2b3d4c58"));
+}
+
+}  // namespace marblehub::test
--- /dev/null
+++ b/tests/support/module_bench.h
@@ -0,0 +1,97 @@
+// The module alone, driven by hand: its timers run, its actions are kept for a test to look at.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lemonspread/lemonspread.h"
+
+namespace marblehub::test {
+
+using namespace lemonspread;
+
+struct Bench {
+  explicit Bench(const Settings& s = settings(), std::uint64_t seed = 7) : balancer(s, seed, 0) {}
+
+  static Settings settings() {
+    Settings s;
+    s.zone = "a";
+    s.max_attempts = 4;
+    s.max_pause_us = 1'000'000;
+    s.warm_within_us = 24'000'000;
+    s.cold_share = 0.13;
+    RequestClass c;
+    c.name = "telemetry", c.slo_us = 500'000, c.message_aim_us = 150'000, c.stream = true;
+    s.classes = {c};
+    return s;
+  }
+  static BackendEntry entry(const std::string& name, Health health) { return {health, name, "a", 0, 1, 0}; }
+  void list(ListForm form, std::vector<BackendEntry> entries) {
+    handle(MembersEvent{form, std::make_shared<std::vector<BackendEntry>>(std::move(entries))});
+  }
+  void handle(const Event& event) {
+    std::vector<Action> actions;
+    balancer.handle(now, event, actions);
+    for (const Action& action : actions) {
+      if (auto* timer = std::get_if<SetTimer>(&action)) timer_at = now + timer->after;
+      if (auto* move = std::get_if<Redirect>(&action)) {
+        moved[move->id] = now;
+        moves_this_second[now / 1'000'000] += 1;
+      }
+      if (auto* probe = std::get_if<Probe>(&action)) probes.emplace_back(now, probe->backend);
+      if (auto* sent = std::get_if<Submit>(&action)) placed[sent->id] = sent->backend;
+      if (auto* refusal = std::get_if<Decline>(&action)) declined.push_back(refusal->id);
+    }
+  }
+  void run(Time span) {
+    for (Time end = now + span; timer_at <= end;) {
+      now = timer_at;
+      handle(TimerEvent{0});
+    }
+  }
+  void hold(const std::string& worker, int count, std::uint64_t group = 0) {
+    for (int i = 0; i < count; ++i) handle(HandoverEvent{{next_id++, 0, 2'000'000, 0, false, group}, worker});
+  }
+
+  // Asks for a connection, which stands at once where it is placed; empty: it is not.
+  std::string ask(std::uint64_t group = 0) {
+    std::uint64_t id = next_id++;
+    handle(RequestEvent{id, 0, 2'000'000, 0, false, group});
+    if (!placed.count(id)) return "";
+    handle(EstablishedEvent{id, 0, 1000});
+    return placed[id];
+  }
+  void report(const std::string& worker, double load) {
+    handle(ProbeResultEvent{worker, 8000, Outcome::served, {load}});
+  }
+
+  auto probed(const std::string& name) const {
+    return std::count_if(probes.begin(), probes.end(), [&](const auto& p) { return p.second == name; });
+  }
+
+  Balancer balancer;
+  Time now = 0, timer_at = 0;
+  std::uint64_t next_id = 1;
+  std::map<std::uint64_t, Time> moved;
+  std::map<Time, int> moves_this_second;
+  std::vector<std::pair<Time, std::string>> probes;
+  std::map<std::uint64_t, std::string> placed;
+  std::vector<std::uint64_t> declined;
+};
+
+inline std::vector<BackendEntry> twelve() {
+  std::vector<BackendEntry> entries;
+  for (int i = 1; i <= 12; ++i) entries.push_back(Bench::entry(std::to_string(i), Health::serving));
+  return entries;
+}
+
+inline Settings dear_probes() {
+  Settings s = Bench::settings();
+  s.price_probe = 0.0018;  // stretches the interval as on the platform
+  return s;
+}
+
+}  // namespace marblehub::test
