Let clients in by the mean load of usable workers; probe new ones at once

A worker left by all stayed at its last reported 0.9 for 6 s, as it was hardly probed any more, then drew a crowd from two draining ones (1.6, resets). First probes of a new or restarted balancer came after up to 5 s. Checked and ruled out: connections cut by the reload (none; 2 planned restarts ended by themselves), late registry (asked within 0.1 s of each SIGHUP). At fault: adapt_admission on late_part; level never refreshed without connections; probe_due of a new backend.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,6 +1,5 @@
-// Every decision of lemonspread. Its interface (settings, events, actions) is
-// include/lemonspread/lemonspread.h, what it remembers is src/state.h, and docs/design.md tells why each part
-// is as it is.
+// Every decision of lemonspread. Its interface is include/lemonspread/lemonspread.h, what it remembers is
+// src/state.h, and docs/design.md tells why each part is as it is.
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -41,6 +40,7 @@
 constexpr double kProbesASecond = 20;   // on one backend from all relays: some % of a core at most
 constexpr double kHeldProbes = 8;       // a backend that holds our connections is probed so much oftener
 constexpr Time kLateRecheck = 500 * kMillisecond;  // one whose report says that messages come late
+constexpr Time kFirstProbe = 300 * kMillisecond;   // of a new one: nothing is known yet of its load
 constexpr Time kRecheck = 200 * kMillisecond;      // a suspect is probed again so soon
 
 // Signs of slowness.
@@ -48,6 +48,7 @@
 constexpr Time kReportMemory = 6 * kSecond;     // a load report is rarer and says more
 constexpr double kMostEvidence = 4;             // times the wanted time
 constexpr double kRoom = 6, kLeastRoom = 0.02;  // what is left of its capacity counts to this power
+constexpr double kNoted = 0.5, kFull = 0.9;     // loads: looked at oftener; given nothing more of a group
 constexpr double kStuck = 4;                    // times its capacity: far over what clients ask for
 constexpr Time kNews = 2 * kSecond;             // only newer signs move connections
 constexpr Time kAdmissionNews = 5 * kSecond;    // or shut clients out
@@ -62,7 +63,7 @@
 constexpr Time kMoveOffLeaving = 3 * kSecond;  // all are off a draining one by then, evenly spread
 constexpr Time kMoveOffSlow = 5 * kSecond;     // and one whose messages are late within about so long
 constexpr double kMoveFrom = 0.8;   // a backend counts as filling up from this part of the wanted time
-constexpr double kPressure = 0.15;  // when more than this part of the fleet is late, fewer are let in
+constexpr double kPressure = 0.75;  // when the mean load is over this, fewer are let in
 
 }  // namespace
 
@@ -80,6 +81,7 @@
   double requests_seen = 0;
   Faded fresh_flow;             // load of new connections accepted; those that come back do not count
   double admitted = 1;          // the part of the new connections that is let in
+  double share_of_one = 0;      // what a usual connection of each relay adds to the load of a unit of size
   double shortest_aim_ms = 50;  // of the messages on any connection
   std::size_t next_in_turn = 0;
   Time sweep_due = -1;  // -1: not begun
@@ -136,7 +138,7 @@
       backends.emplace_back();
       backends.back().address = entry.address;
       backends.back().hash = hash_of(entry.address);
-      backends.back().probe_due = now + up_to(probe_interval());
+      backends.back().probe_due = now + up_to(kFirstProbe);
     }
     Backend& b = backends[it->second];
     b.zone = entry.zone;
@@ -208,7 +210,8 @@
     for (Backend& b : backends) {
       if (!b.listed || b.probe_out || !(b.sampled || b.active > 0 || b.misses > 0)) continue;
       Time held_interval = static_cast<Time>(static_cast<double>(interval) / kHeldProbes);
-      if (b.active > 0 || b.down) b.probe_due = std::min(b.probe_due, now + jittered(held_interval));
+      if (b.active > 0 || b.down || b.level > kNoted)
+        b.probe_due = std::min(b.probe_due, now + jittered(held_interval));
       if (now < b.probe_due) continue;
       b.probe_out = true;
       b.probe_due = now + jittered(interval);
@@ -263,7 +266,7 @@
     b.level = report.load;
     b.report.set(capped(shortest_aim_ms * 0.07 * report.load / std::max(0.05, 1 - report.load)), now);
     // On sockets no message tells of its delay; only the next report says whether moving has helped.
-    if (b.active > 0 && b.report.value >= kMoveFrom * shortest_aim_ms)
+    if (b.report.value >= kMoveFrom * shortest_aim_ms)
       b.probe_due = std::min(b.probe_due, now + jittered(kLateRecheck));
   }
 
@@ -303,18 +306,16 @@
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
       if (b.down) continue;
-      scales += b.scale, least += 1;
-      in[k] = 0;
-      if (warmth(b) < 1 && b.cold_tokens <= 0) continue;
-      if (evidence(b) > kGroupLate * shortest_aim_ms) continue;
+      scales += b.scale, least += 1, in[k] = 0;
+      bool cold = warmth(b) < 1 && b.cold_tokens <= 0;
+      if (cold || evidence(b) > kGroupLate * shortest_aim_ms || b.level > kFull) continue;
       double u = (static_cast<double>(mixed(b.hash ^ r.group) >> 11) + 1) * 0x1p-53;
       ranked.emplace_back(-std::log(u) / b.scale, k);
     }
-    if (least == 0) return in;
     std::sort(ranked.begin(), ranked.end());
     double share =
         groups[r.group].asked.at(now, kGroupMemory) / std::max(1.0, groups_asked.at(now, kGroupMemory));
-    double need = std::max(kGroupLeast / least, kGroupSlack * share) * scales;
+    double need = std::max(kGroupLeast / std::max(1.0, least), kGroupSlack * share) * scales;
     for (auto [score, k] : ranked) {
       if (need <= 0) break;
       need -= backends[may[k]].scale;
@@ -448,7 +449,7 @@
     r.out = r.open = true;
     count(r);
     Backend& b = backends[i];  // nothing is known yet of a backend that may be full already
-    if (b.timings.empty()) b.probe_due = std::min(b.probe_due, now + up_to(kLateRecheck));
+    if (b.timings.empty()) b.probe_due = std::min(b.probe_due, now + up_to(kRecheck));
   }
 
   bool has_class(const RequestEvent& event) const {
@@ -466,6 +467,7 @@
     Time patience = std::min(left, std::max(c.slo_us, left / tries_left));
     if (tries_left == 1 || left - patience < settings.connect_timeout_us) patience = left;
     Backend& b = backends[i];
+    b.level += 0.5 * settings.balancers * r.load * share_of_one / b.scale;  // until the next report
     b.recent.add(r.load, now, kRecentMemory);
     b.cold_tokens -= r.load;
     r.attempts += 1;
@@ -576,8 +578,8 @@
   // whose messages come later than wanted. Moves are spread in time and stop when most others are no better.
   bool leaves(const Request& r) {
     const Backend& b = backends[r.backend];
-    // A worker that drains takes its connections with it when it stops: all are asked to move before, at an
-    // even pace, so that they do not come back as one crowd. None moves where there is nowhere to go.
+    // One that drains takes its connections along when it stops: all are asked to move before, at an even
+    // pace, so that they do not come back as one crowd. None moves where there is nowhere to go.
     if (b.leaving_since >= 0) {
       Time left = b.leaving_since + kMoveOffLeaving - now;
       return somewhere_to_go() && (left <= kSweep || uniform() * static_cast<double>(left) < kSweep);
@@ -590,36 +592,41 @@
   }
 
   bool somewhere_to_go() const {
-    return std::any_of(backends.begin(), backends.end(),
-                       [](const Backend& b) { return b.listed && !b.draining && !b.down; });
+    return std::any_of(backends.begin(), backends.end(), [this](const Backend& b) { return usable(b); });
   }
 
-  bool room_elsewhere() const { return late_part(true) <= 0.5 || (admitted < 1 && late_part(false) > 0); }
-
   // One that hangs may still answer probes, and so is not down, but asked for many times what it can do. It
   // is no sign that the others are short of room.
   bool stuck(const Backend& b) const { return b.level > kStuck; }
 
-  // The part of what this relay can judge of the fleet where messages come too late or not at all.
-  double late_part(bool with_down) const {
-    double late = 0, judged = 0, scales = 0, listed = 0;
+  bool usable(const Backend& b) const { return b.listed && !b.draining && !b.down && !stuck(b); }
+  bool late(const Backend& b) const { return fresh(b, kAdmissionNews) && evidence(b) > shortest_aim_ms; }
+
+  // Whether at most half of what this relay can judge of the fleet is late or down: else moving is no help.
+  bool room_elsewhere() const {
+    double bad = 0, judged = 0, scales = 0, listed = 0;
     for (const Backend& b : backends) {
-      if (!b.listed || b.draining || (b.down && !with_down)) continue;
-      if (!with_down && stuck(b)) continue;
+      if (!b.listed || b.draining) continue;
       scales += b.scale, listed += 1;
-      if (b.active == 0 && !b.down && evidence(b) < 1) continue;
-      judged += b.scale;
-      if (b.down || (fresh(b, kAdmissionNews) && evidence(b) > shortest_aim_ms)) late += b.scale;
+      judged += b.active > 0 || b.down || evidence(b) >= 1 ? b.scale : 0;
+      bad += b.down || late(b) ? b.scale : 0;
     }
-    return listed > 0 ? late / (judged + scales / listed) : 0;  // one unknown counts as good
+    return admitted < 1 || (listed > 0 && 2 * bad <= judged + scales / listed);  // one unknown counts as good
   }
 
-  // When the fleet as a whole is late, every further connection makes all of them late. Fewer are let in
-  // until most backends are in time again; no class or client is preferred.
+  // When the fleet as a whole is full, every further connection makes all of them late. Fewer are let in
+  // until there is room again; no class or client is preferred. What is down or stuck has no part in it: a
+  // few bad backends must not shut clients out of the others.
   void adapt_admission() {
-    double late = late_part(false);
-    admitted =
-        late > kPressure ? std::max(0.05, admitted * (1 - 0.1 * late)) : std::min(1.0, admitted + 0.005);
+    double full = 0, scales = 0, held = 0;
+    for (const Backend& b : backends) {
+      if (!usable(b)) continue;
+      scales += b.scale, held += b.load * settings.balancers;
+      full += b.scale * std::max(std::min(b.level, 1.5), late(b) ? 1.0 : 0.0);
+    }
+    double over = scales > 0 ? full / scales - kPressure : 0;
+    admitted = over > 0 ? std::max(0.05, admitted * (1 - over)) : std::min(1.0, admitted + 0.005);
+    share_of_one = held > 5 ? full / held : 0;
   }
 
   void sweep() {
