--- a/src/main.cpp
+++ b/src/main.cpp
@@ -100,7 +100,7 @@
     quic::QuicSettings settings = quic::quic_settings_from(*options);
     if (!settings.enabled) return nullptr;
     log::info("QUIC connection ids are routed on {}", settings.listen);
-    return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), metrics_);
+    return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), room_, metrics_);
   }
 
   // SIGHUP. The file is taken whole or not at all, and no connection or call is touched.
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -157,14 +157,17 @@
  public:
   Attempt(Flow& flow, core::Exchange& exchange)
       : flow_(flow), exchange_(exchange), failed_(flow.front_.loop_, [this] {
-          exchange_.worker_ended(Outcome::connect_failed, Ending::broken);  // this ends with it
+          exchange_.worker_ended(failure_, Ending::broken);  // this ends with it
         }) {}
   ~Attempt() override {
     if (flow_.standing || !flow_.path) return;
     flow_.front_.drop_path(flow_.path);
     flow_.path.reset();
   }
-  void fail() { failed_.start(0); }
+  void fail(Outcome why) {
+    failure_ = why;
+    failed_.start(0);
+  }
   void deliver(std::string_view) override {}
   void hold(bool) override {}
   void finish(Ending) override {}
@@ -173,6 +176,7 @@
   Flow& flow_;
   core::Exchange& exchange_;
   net::TimerWatch failed_;
+  Outcome failure_ = Outcome::connect_failed;
 };
 
 std::unique_ptr<core::Delegation> Flow::delegate(core::Exchange& to, const std::string& worker,
@@ -180,7 +184,9 @@
   auto attempt = std::make_unique<Attempt>(*this, to);
   path = front_.make_path(client, worker);
   if (!path) {
-    attempt->fail();
+    // Our own want of a descriptor or of room in the table says nothing of the worker.
+    bool known = net::parse_address(front_.address_of(worker)).has_value();
+    attempt->fail(known ? Outcome::not_sent : Outcome::connect_failed);
     return attempt;
   }
   path->flow = this;
@@ -190,12 +196,14 @@
 
 // ---- Datagrams from clients ------------------------------------------------------------------------
 
-Front::Front(net::Loop& loop, core::Dispatcher& dispatcher, QuicSettings settings, metrics::Registry& metrics)
+Front::Front(net::Loop& loop, core::Dispatcher& dispatcher, QuicSettings settings, net::Room& room,
+             metrics::Registry& metrics)
     : loop_(loop),
       dispatcher_(dispatcher),
       settings_(std::move(settings)),
       codec_(settings_.ids),
       request_class_(dispatcher.class_named(settings_.request_class)),
+      room_(room),
       fd_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       io_(loop, [this](int) { receive(); }),
       sweep_(loop, [this] { sweep(); }),
@@ -382,15 +390,16 @@
 
 std::shared_ptr<Path> Front::make_path(const sockaddr_in& client, const std::string& worker) {
   auto to = net::parse_address(address_of(worker));
-  if (all_paths_.size() >= settings_.paths) {  // the one that has been of no use for longest makes room
+  bool full = all_paths_.size() >= settings_.paths;
+  if (full || room_.scarce()) {  // the one that has been of no use for longest makes room
     std::shared_ptr<Path> oldest;
     for (auto& [raw, path] : all_paths_)
       if (!path->flow && (!oldest || path->used < oldest->used)) oldest = path;
-    if (!oldest) {
+    if (oldest) drop_path(oldest);
+    if (!oldest && (full || room_.none())) {
       full_.add();
       return nullptr;
     }
-    drop_path(oldest);
   }
   auto path = std::make_shared<Path>(*this, client, worker);
   if (!to || !path->open(*to)) return nullptr;
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -11,6 +11,7 @@
 
 #include "core/dispatcher.h"
 #include "net/loop.h"
+#include "net/room.h"
 #include "quic/connection_id.h"
 #include "quic/packet.h"
 #include "quic/settings.h"
@@ -24,7 +25,8 @@
 
 class Front {
  public:
-  Front(net::Loop& loop, core::Dispatcher& dispatcher, QuicSettings settings, metrics::Registry& metrics);
+  Front(net::Loop& loop, core::Dispatcher& dispatcher, QuicSettings settings, net::Room& room,
+        metrics::Registry& metrics);
   ~Front();
   void close();  // new clients are taken no more; what stands goes on
 
@@ -60,6 +62,7 @@
   const QuicSettings settings_;
   const IdCodec codec_;
   const int request_class_;
+  net::Room& room_;
   net::Fd fd_;
   net::IoWatch io_;
   net::TimerWatch sweep_;
--- a/tests/quic_test.cpp
+++ b/tests/quic_test.cpp
@@ -163,7 +163,7 @@
 };
 
 struct Scene {
-  explicit Scene(std::vector<std::string> names, int deadline_ms = 1500) {
+  explicit Scene(std::vector<std::string> names, int deadline_ms = 1500, rlim_t files = 1024) {
     registry = bound(SOCK_STREAM | SOCK_NONBLOCK);
     ::listen(registry, 8);
     json known = json::array();
@@ -186,7 +186,7 @@
         {"ids", json::array({{{"rotation", 2}, {"server_id_length", 4}, {"nonce_length", 6}, {"key", ""}}})}};
     json s = settings();
     s["limits"]["probes"] = false;  // these stand-ins speak QUIC only
-    program = std::make_unique<Program>(known, s, port_of(registry), file);
+    program = std::make_unique<Program>(known, s, port_of(registry), file, "/nonexistent", files);
   }
   ~Scene() {
     ::close(registry);
@@ -355,6 +355,37 @@
   }
 }
 
+// One socket for each client: a crowd of Initials must neither end the program nor be held against workers.
+TEST_CASE("out of descriptors, further Initials are closed at once and no worker is blamed") {
+  Scene scene({"g-1"}, 1500, 24);
+  for (int i = 0; i < 30; ++i) scene.client().open();
+  int up = 0, closed = 0;
+  scene.run(2500, [&] {
+    up = closed = 0;
+    for (auto& c : scene.clients) up += c->ups, closed += c->closes;
+    return up + closed == 30;
+  });
+  CHECK(up >= 5);
+  CHECK(closed >= 5);
+  CHECK(up + closed == 30);
+  CHECK(scene.counter("marblehub_delegation_results_total{outcome=\"not_sent\"}") > 0);
+  CHECK(scene.counter("marblehub_delegation_results_total{outcome=\"connect_failed\"}") == 0);
+}
+
+TEST_CASE("a reload leaves QUIC connections as they are") {
+  Scene scene({"g-1"});
+  Client& client = scene.client();
+  client.open();
+  scene.run(2000, [&] { return client.ups == 1; });
+  for (int i = 0; i < 3; ++i) {
+    scene.program->signal(SIGHUP);
+    client.request("R" + std::to_string(i));
+    scene.run(300);
+  }
+  CHECK(client.answers == std::map<std::string, int>{{"R0", 1}, {"R1", 1}, {"R2", 1}});
+  CHECK(scene.counter("marblehub_reloads_total{result=\"taken\"}") == 3);
+}
+
 TEST_CASE("a worker's refusal leads to another attempt") {
   Scene scene({"g-1", "g-2"});
   scene.workers[0]->busy = true;
