--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -78,10 +78,10 @@
 
 struct RequestEvent {
   std::uint64_t id = 0;
-  int request_class = 0;  // index into Settings::classes
-  Time expires_in = 0;    // until the client gives this try up
-  double load_hint = 0;   // work a second that it will ask for; 0: unknown
-  bool returned = false;  // the client comes back after a break or a move
+  int request_class = 0;    // index into Settings::classes
+  Time expires_in = 0;      // until the client gives this try up
+  double load_hint = 0;     // work a second that it will ask for; 0: unknown
+  bool returned = false;    // the client comes back after a break or a move
   std::uint64_t group = 0;  // of connections that share work on a backend; 0: none
 };
 
