Say once what hashing, reading files, answering clients and room did twice

Written twice and now once: FNV-1a (module and opening lines), reading a file into options (main and load_startup), the signal mask (main and SignalGate), counting and writing to a client (six places), dropping the registry's call (three), "cold and out of tokens" (home and pick), connecting and key paths in the tests. Room counted /proc/self/fd twice at start; the Group of one member is the figure itself.

Behaviour stays, but for one counter: the BUSY to a client that gives way now counts in client_bytes_sent.

--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -15,6 +16,13 @@
 
 using Time = std::int64_t;  // microseconds
 
+// A number for a name, the same at every relay and in every build (FNV-1a).
+constexpr std::uint64_t name_hash(std::string_view name) {
+  std::uint64_t h = 0xcbf29ce484222325;
+  for (char c : name) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+  return h;
+}
+
 // ---- Settings, handed in once
 // ------------------------------------------------------------------------------
 
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -37,6 +37,13 @@
   }
 }
 
+// An address that can be spoken to: a wrong one must not be found out only when it is needed.
+const std::string& address_at(const Options& options, std::string_view key) {
+  const std::string& text = options.text(key);
+  if (!parse_address(text)) options.refuse(key, "a.b.c.d:port");
+  return text;
+}
+
 }  // namespace
 
 std::optional<sockaddr_in> parse_address(std::string_view text) {
@@ -67,6 +74,12 @@
   return Options(std::move(values), std::move(place));
 }
 
+Options options_in(const std::string& path) {
+  auto text = read_file(path);
+  if (!text) throw DecodeError("cannot read " + path);
+  return flatten(*text, path + ": ");
+}
+
 Options below(const Options& options, std::string_view path, std::string place) {
   std::string prefix = std::string(path) + ".";
   Values values;
@@ -99,17 +112,6 @@
   return list;
 }
 
-namespace {
-
-// An address that can be spoken to: a wrong one must not be found out only when it is needed.
-const std::string& address_at(const Options& options, std::string_view key) {
-  const std::string& text = options.text(key);
-  if (!parse_address(text)) options.refuse(key, "a.b.c.d:port");
-  return text;
-}
-
-}  // namespace
-
 Startup startup_from(const Options& all) {
   Startup s;
   s.name = all.text("name");
@@ -129,9 +131,7 @@
 }
 
 Loaded load_startup(const std::string& path) {
-  auto text = read_file(path);
-  if (!text) throw DecodeError("cannot read " + path);
-  Options options = flatten(*text, path + ": ");
+  Options options = options_in(path);
   return {startup_from(options), options.values()};
 }
 
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -22,6 +22,9 @@
 // gives .count and its items under .0, .1 ...
 Options flatten(std::string_view json, std::string place);
 
+// The same for a file, whose path is the place; one that cannot be read is refused.
+Options options_in(const std::string& path);
+
 // The part of the options below `path`, with the path taken off.
 Options below(const Options& options, std::string_view path, std::string place);
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t kWindow = 20;           // timings in the mean
 constexpr int kMisses = 3;                    // in a row before a backend is down
 constexpr double kActiveShare = 0.25, kRecentShare = 0.25, kLatencyShare = 0.5;
-constexpr double kSharpness = 6;              // a backend half as good by the blend draws 1/16 as often
+constexpr double kSharpness = 6;              // a backend half as good by the blend draws 1/64 as often
 constexpr Time kRecentMemory = 10 * kSecond;  // connections count as new for about so long
 constexpr double kToll = 8;                   // crossing zones counts as latency: price x aim x this
 
@@ -75,8 +75,8 @@
   std::vector<Backend> backends;  // never shrinks: an index stays good
   std::unordered_map<std::string, int> index;
   std::map<std::uint64_t, Request> requests;
-  std::map<std::uint64_t, Group> groups;
-  Faded groups_asked;
+  std::map<std::uint64_t, Faded> group_asked;  // connections asked for in each group
+  Faded groups_asked;                          // and in all
   double usual_load = 0;  // mean load hinted or noted, to count connections in usual ones
   double requests_seen = 0;
   Faded fresh_flow;             // load of new connections accepted; those that come back do not count
@@ -137,7 +137,7 @@
     if (fresh) {
       backends.emplace_back();
       backends.back().address = entry.address;
-      backends.back().hash = hash_of(entry.address);
+      backends.back().hash = mixed(name_hash(entry.address));
       backends.back().probe_due = now + up_to(kFirstProbe);
     }
     Backend& b = backends[it->second];
@@ -288,11 +288,6 @@
     x ^= x >> 33, x *= 0xff51afd7ed558ccd, x ^= x >> 33, x *= 0xc4ceb9fe1a85ec53;
     return x ^ x >> 33;
   }
-  static std::uint64_t hash_of(const std::string& text) {
-    std::uint64_t h = 0xcbf29ce484222325;
-    for (unsigned char c : text) h = (h ^ c) * 0x100000001b3;
-    return mixed(h);
-  }
 
   // Which of the backends a request's group keeps to: so many that they hold its share of the connections
   // with some to spare, in an order that the group and the backends' names give. All relays come to the same
@@ -307,14 +302,13 @@
       const Backend& b = backends[may[k]];
       if (b.down) continue;
       scales += b.scale, least += 1, in[k] = 0;
-      bool cold = warmth(b) < 1 && b.cold_tokens <= 0;
-      if (cold || evidence(b) > kGroupLate * shortest_aim_ms || b.level > kFull) continue;
+      if (spent(b) || evidence(b) > kGroupLate * shortest_aim_ms || b.level > kFull) continue;
       double u = (static_cast<double>(mixed(b.hash ^ r.group) >> 11) + 1) * 0x1p-53;
       ranked.emplace_back(-std::log(u) / b.scale, k);
     }
     std::sort(ranked.begin(), ranked.end());
     double share =
-        groups[r.group].asked.at(now, kGroupMemory) / std::max(1.0, groups_asked.at(now, kGroupMemory));
+        group_asked[r.group].at(now, kGroupMemory) / std::max(1.0, groups_asked.at(now, kGroupMemory));
     double need = std::max(kGroupLeast / std::max(1.0, least), kGroupSlack * share) * scales;
     for (auto [score, k] : ranked) {
       if (need <= 0) break;
@@ -364,7 +358,7 @@
       double blend = kActiveShare * few_active + kRecentShare * few_recent + kLatencyShare * quick;
       weight[k] = b.scale * std::pow(blend, kSharpness) * std::pow(0.25, b.misses);
       weight[k] *= std::pow(std::clamp(1 - b.level, kLeastRoom, 1.0), kRoom);
-      if (warmth(b) < 1 && b.cold_tokens <= 0) weight[k] = 0;
+      if (spent(b)) weight[k] = 0;
       if (!b.sampled) weight[k] *= kOutside;
       if (!at_home[k]) weight[k] *= kOutside;
       if (std::find(r.tried.begin(), r.tried.end(), may[k]) != r.tried.end()) weight[k] *= 1e-6;
@@ -386,6 +380,8 @@
     return settings.cold_share + (1 - settings.cold_share) * std::max(0.0, part);
   }
 
+  bool spent(const Backend& b) const { return warmth(b) < 1 && b.cold_tokens <= 0; }
+
   // Each relay sends a cold backend no more than its ordinary part of the new connections times the warmth,
   // in tokens of usual load, however big the crowd that comes back after a break and however few others are
   // left: so all relays together stay under what it can do without knowing of each other. The random phase
@@ -425,7 +421,7 @@
     r.returned = event.returned;
     if (settings.groups && event.group != 0) {
       r.group = event.group;
-      groups[r.group].asked.add(1, now, kGroupMemory);
+      group_asked[r.group].add(1, now, kGroupMemory);
       groups_asked.add(1, now, kGroupMemory);
     }
     if (event.load_hint > 0) r.load = event.load_hint / learn_usual(event.load_hint);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,12 +24,6 @@
 // A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
 constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
 
-config::Options options_in(const std::string& path) {
-  auto text = config::read_file(path);
-  if (!text) throw std::runtime_error("cannot read " + path);
-  return config::flatten(*text, path + ": ");
-}
-
 class Program {
  public:
   Program(std::string path, config::Loaded loaded)
@@ -82,7 +76,7 @@
   // A file that may be absent: then what it would turn on is off.
   static std::optional<config::Options> optional_file(const std::string& path) {
     if (!std::filesystem::exists(path)) return std::nullopt;
-    return options_in(path);
+    return config::options_in(path);
   }
 
   std::unique_ptr<metrics::RemoteWrite> remote_writer() {
@@ -179,10 +173,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   // Before its watcher stands and after it has gone, a SIGHUP would end the process: until then it waits, and
   // one that comes while the program exits is never delivered.
-  sigset_t hangup;
-  sigemptyset(&hangup);
-  sigaddset(&hangup, SIGHUP);
-  sigprocmask(SIG_BLOCK, &hangup, nullptr);
+  marblehub::net::SignalGate::shut(SIGHUP);
   try {
     const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -135,7 +135,7 @@
 }
 
 void ClientLink::first_lines() {
-  while (!asked_ && stream_) {
+  for (;;) {
     std::size_t end = in_.find('\n');
     if (std::min(end, in_.size()) >= kLongestLine) return malformed();
     std::optional<std::string> line = take_line(in_);
@@ -149,8 +149,7 @@
 bool ClientLink::ping() {
   if (++pings_ > kPings) return false;
   listener_.pings_.add();
-  listener_.bytes_out_.add(6);
-  stream_->write("PONG\r\n");
+  say("PONG\r\n");
   return true;
 }
 
@@ -187,11 +186,7 @@
   listener_.malformed_.add();
   if (exchange_) exchange_->client_left(Ending::broken);
   exchange_ = nullptr;
-  if (!stream_) return;
-  constexpr std::string_view words = "ERR\r\n";
-  listener_.bytes_out_.add(static_cast<double>(words.size()));
-  stream_->write(words);
-  end(Stream::turn_away);
+  say_and_close("ERR\r\n", Stream::turn_away);
 }
 
 void ClientLink::never_asked() {
@@ -201,8 +196,7 @@
 
 void ClientLink::make_way() {
   listener_.gave_way_.add();
-  stream_->write("BUSY\r\n");
-  end(Stream::drop);
+  say_and_close("BUSY\r\n", Stream::drop);
 }
 
 void ClientLink::stop_asking() {
@@ -238,8 +232,7 @@
 
 void ClientLink::established(std::string_view receipt) {
   standing_ = true;
-  listener_.bytes_out_.add(static_cast<double>(receipt.size()));
-  stream_->write(receipt);
+  say(receipt);
 }
 
 void ClientLink::overload_reply(Time pause) {
@@ -254,8 +247,7 @@
 
 void ClientLink::deliver(std::string_view bytes) {
   if (!stream_) return;
-  listener_.bytes_out_.add(static_cast<double>(bytes.size()));
-  stream_->write(bytes);
+  say(bytes);
   if (stream_->backlog() > kBacklogBound && !full_told_ && exchange_) {
     full_told_ = true;
     exchange_->client_full(true);
@@ -276,11 +268,15 @@
   close(ending);
 }
 
-void ClientLink::say_and_close(std::string_view line) {
+void ClientLink::say(std::string_view bytes) {
+  listener_.bytes_out_.add(static_cast<double>(bytes.size()));
+  stream_->write(bytes);
+}
+
+void ClientLink::say_and_close(std::string_view line, void (*how)(std::unique_ptr<Stream>)) {
   if (!stream_) return;
-  listener_.bytes_out_.add(static_cast<double>(line.size()));
-  stream_->write(line);
-  close(Ending::finished);
+  say(line);
+  end(how);
 }
 
 void ClientLink::close(Ending ending) { end(ending == Ending::finished ? Stream::finish : Stream::reset); }
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -84,7 +84,8 @@
   void make_way();
   void stop_asking();
   void forward(std::string_view bytes);
-  void say_and_close(std::string_view line);
+  void say(std::string_view bytes);
+  void say_and_close(std::string_view line, void (*how)(std::unique_ptr<Stream>) = Stream::finish);
   void close(Ending ending);
   void end(void (*how)(std::unique_ptr<Stream>));
 
--- a/src/net/lines.cpp
+++ b/src/net/lines.cpp
@@ -100,11 +100,7 @@
   return whole ? std::optional(opening) : std::nullopt;
 }
 
-std::uint64_t number_for(std::string_view name) {
-  std::uint64_t h = 0xcbf29ce484222325;  // FNV-1a
-  for (unsigned char c : name) h = (h ^ c) * 0x100000001b3;
-  return h | 1;
-}
+std::uint64_t number_for(std::string_view name) { return lemonspread::name_hash(name) | 1; }
 
 core::LoadReport report_in(std::string_view line) {
   core::LoadReport report;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,13 @@
 namespace marblehub::net {
 namespace {
 
+void mask(int how, int number) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, number);
+  sigprocmask(how, &signals, nullptr);
+}
+
 Time steady() {
   using namespace std::chrono;
   return duration_cast<microseconds>(steady_clock::now().time_since_epoch()).count();
@@ -72,14 +79,8 @@
   ev_timer_start(loop, &self.wake_);
 }
 
-SignalGate::SignalGate(int number) : number_(number) { set(SIG_UNBLOCK); }
-SignalGate::~SignalGate() { set(SIG_BLOCK); }
-void SignalGate::set(int how) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, number_);
-  sigprocmask(how, &signals, nullptr);
-}
+SignalGate::SignalGate(int number) : number_(number) { mask(SIG_UNBLOCK, number); }
+void SignalGate::shut(int number) { mask(SIG_BLOCK, number); }
 
 void IoWatch::start(int fd, int events) {
   stop();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -103,15 +103,15 @@
   ev_timer watcher_;
 };
 
-// Lets a blocked signal through while it lives.
+// Lets a signal that was shut out through while it lives.
 class SignalGate {
  public:
   explicit SignalGate(int number);
-  ~SignalGate();
+  ~SignalGate() { shut(number_); }
   SignalGate(const SignalGate&) = delete;
+  static void shut(int number);  // it waits from then on
 
  private:
-  void set(int how);
   const int number_;
 };
 
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -44,9 +44,14 @@
 RegistryWatch::~RegistryWatch() { close(); }
 
 void RegistryWatch::close() {
-  patience_.stop();
-  next_.stop();
   closed_ = true;  // no further call
+  next_.stop();
+  drop_call();
+}
+
+void RegistryWatch::drop_call() {
+  out_ = false;
+  patience_.stop();
   Stream::reset(std::move(stream_));
 }
 
@@ -54,9 +59,7 @@
   if (closed_ || address == address_) return;
   address_ = std::move(address);
   index_ = 0;
-  out_ = false;
-  patience_.stop();
-  Stream::reset(std::move(stream_));
+  drop_call();
   first_ = true;
   next_.start(0);
 }
@@ -123,10 +126,8 @@
 
 void RegistryWatch::fail(const char* why) {
   log::info("registry call failed: {}", why);
-  out_ = false;
-  patience_.stop();
   next_.stop();
-  Stream::reset(std::move(stream_));
+  drop_call();
   handler_.refused();
 }
 
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -34,6 +34,7 @@
 
  private:
   void call();
+  void drop_call();  // what is out is heard of no more
   void complete();
   void fail(const char* why);
 
--- a/src/net/room.cpp
+++ b/src/net/room.cpp
@@ -13,18 +13,17 @@
 
 constexpr std::size_t kSpare = 4;  // files that are opened for a moment: a configuration, a log
 
-std::size_t open_now() {
+// What is open beside the sockets that Fd counts.
+std::size_t open_besides() {
   std::error_code error;
   std::filesystem::directory_iterator all("/proc/self/fd", error);
-  if (error) return 12;
-  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  auto open = error ? std::size_t{12} : static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  return open - std::min(open, Fd::in_use());
 }
 
 }  // namespace
 
-Room::Room(std::int64_t most) : own_(open_now() - std::min(open_now(), Fd::in_use()) + kSpare) {
-  limit(most);
-}
+Room::Room(std::int64_t most) : own_(open_besides() + kSpare) { limit(most); }
 
 void Room::limit(std::int64_t most) {
   limit_ = static_cast<std::size_t>(std::max<std::int64_t>(most, 0));
--- a/src/net/room.h
+++ b/src/net/room.h
@@ -13,13 +13,13 @@
   // From the configuration, at start and on reload. What the system allows is a bound as well.
   void limit(std::int64_t most);
 
-  std::size_t left() const;
-  // Part kept for those who have asked: below it, whoever has not asked yet gives way.
-  std::size_t reserve() const { return limit_ / 8; }
   bool none() const { return left() == 0; }
-  bool scarce() const { return left() <= reserve(); }
+  // The last eighth is kept for those who have asked: whoever has not asked yet gives way.
+  bool scarce() const { return left() <= limit_ / 8; }
 
  private:
+  std::size_t left() const;
+
   std::size_t limit_ = 0;
   const std::size_t own_;  // open since before the first socket, and the loop's
 };
--- a/src/state.h
+++ b/src/state.h
@@ -48,13 +48,8 @@
   double load = 0;   // their load, in usual connections
   Faded recent;      // load of new connections sent here
   Faded evidence;    // ms that a message is said to take here
-  double level = 0;  // load over capacity, as last reported
   Faded report;      // the same from the last load report
-};
-
-// Connections that share work wherever any of them is held.
-struct Group {
-  Faded asked;  // connections asked for
+  double level = 0;  // load over capacity: as last reported, and what was sent here since
 };
 
 struct Request {
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -65,6 +65,11 @@
   }
 };
 
+json::json_pointer pointer_to(std::string path) {  // of a key such as limits.sockets
+  std::replace(path.begin(), path.end(), '.', '/');
+  return json::json_pointer("/" + path);
+}
+
 bool matches(const std::string& pattern, const std::string& text) {
   std::size_t t = 0;
   for (char p : pattern) {
@@ -149,11 +154,7 @@
     int calls = 0;
   };
 
-  void set(const std::string& path, json value) {
-    std::string pointer = "/" + path;
-    std::replace(pointer.begin(), pointer.end(), '.', '/');
-    settings_[json::json_pointer(pointer)] = std::move(value);
-  }
+  void set(const std::string& path, json value) { settings_[pointer_to(path)] = std::move(value); }
   void add_worker(const std::string& name) {
     Worker& w = workers_[name];
     w.fd = bound(SOCK_STREAM | SOCK_NONBLOCK);
@@ -187,9 +188,7 @@
       program_->config()["discovery"] = text_of(port_of(registry_fd_));
       whole_ = true;
     } else if (!value.empty()) {
-      std::string pointer = "/" + path;
-      std::replace(pointer.begin(), pointer.end(), '.', '/');
-      program_->config()[json::json_pointer(pointer)] = json::parse(value);
+      program_->config()[pointer_to(path)] = json::parse(value);
     }
     if (path.empty())
       program_->remove_config();
@@ -278,9 +277,7 @@
     auto& c = conns_[who];
     if (!c) {
       c = std::make_shared<Conn>();
-      c->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      sockaddr_in to = loopback(program_->port);
-      REQUIRE(::connect(c->fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+      c->fd = connected(program_->port);
     }
     return *c;
   }
@@ -328,9 +325,7 @@
   json own = settings();
   own["limits"]["probes"] = false;
   Program program(known, own, free_port(SOCK_STREAM));
-  int client = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in to = loopback(program.port);
-  REQUIRE(::connect(client, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  int client = connected(program.port);
   std::string open = "OPEN 1 2 c=telemetry,d=2000\r\n";
   ::send(client, open.data(), open.size(), 0);
   int call = ::accept(worker, nullptr, nullptr);
@@ -363,9 +358,7 @@
   json own = settings();
   own["limits"]["probes"] = false;
   Program program(json::array(), own, free_port(SOCK_STREAM));
-  int client = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in to = loopback(program.port);
-  REQUIRE(::connect(client, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  int client = connected(program.port);
   std::string block(1 << 20, 'k'), got;
   std::int64_t began = now_ms();
   std::size_t sent = 0;
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -153,9 +153,7 @@
   ::close(w.receiver.fd);
   w.receiver.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   usleep(900000);
-  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in to = loopback(w.program->port);
-  REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+  int fd = connected(w.program->port);
   REQUIRE(::send(fd, "PING\r\n", 6, 0) == 6);
   char answer[6];
   CHECK(::recv(fd, answer, 6, MSG_WAITALL) == 6);
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -53,6 +53,15 @@
   return fd;
 }
 
+// A client's connection to a port of this machine.
+inline int connected(int port) {
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in to = loopback(port);
+  if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
+    throw std::runtime_error("no connection");
+  return fd;
+}
+
 inline int free_port(int type) {
   int fd = bound(type), port = port_of(fd);
   ::close(fd);
