--- /dev/null
+++ b/conformance/stage.cpp
@@ -0,0 +1,207 @@
+#include "stage.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "quic/packet.h"
+
+namespace marblehub::peers {
+namespace {
+
+constexpr std::int64_t kHold = 5'000'000;
+
+std::string temporary_path() {
+  char path[] = "/tmp/marblehub-quic-XXXXXX";
+  ::close(mkstemp(path));
+  return path;
+}
+
+Endpoint free_endpoint(int family) { return Udp(family).local(); }
+
+}  // namespace
+
+RegistryStandIn::RegistryStandIn()
+    : fd_(test::bound(SOCK_STREAM | SOCK_NONBLOCK)), port_(test::port_of(fd_)) {
+  ::listen(fd_, 16);
+}
+
+RegistryStandIn::~RegistryStandIn() {
+  for (Conn& conn : conns_) ::close(conn.fd);
+  ::close(fd_);
+}
+
+void RegistryStandIn::set(const std::string& name, const std::string& address, const std::string& status) {
+  entries_[name] = {{"name", name}, {"address", address}, {"zone", "a"},   {"type", "m"},
+                    {"group", 0},   {"status", status},   {"weight", 1.0}, {"since_ms", 0}};
+  changed_[name] = ++index_;
+}
+
+bool RegistryStandIn::watched() const {
+  return std::any_of(conns_.begin(), conns_.end(), [](const Conn& conn) { return conn.held_since > 0; });
+}
+
+json RegistryStandIn::list() const {
+  json all = json::array();
+  for (auto& [name, entry] : entries_)
+    if (entry["status"] != "gone") all.push_back(entry);
+  return all;
+}
+
+void RegistryStandIn::answer(Conn& conn, bool whole) {
+  json entries = whole ? list() : json::array();
+  if (!whole)
+    for (auto& [name, entry] : entries_)
+      if (changed_[name] > conn.from) entries.push_back(entry);
+  std::string body = json{{"index", index_}, {"snapshot", whole}, {"endpoints", entries}}.dump();
+  std::string text = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+  ::send(conn.fd, text.data(), text.size(), MSG_NOSIGNAL);
+  conn.held_since = 0;
+}
+
+void RegistryStandIn::step() {
+  for (int fd; (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
+    conns_.push_back({fd, "", 0, -1});
+  for (Conn& conn : conns_) {
+    char buffer[4096];
+    ssize_t n = ::recv(conn.fd, buffer, sizeof buffer, 0);
+    if (n > 0) conn.in.append(buffer, static_cast<std::size_t>(n));
+    if (n == 0) {
+      ::close(std::exchange(conn.fd, -1));
+      continue;
+    }
+    std::size_t end = conn.in.find("\r\n\r\n");
+    if (end != std::string::npos) {
+      std::string head = conn.in.substr(0, end);
+      conn.in.erase(0, end + 4);
+      std::size_t from = head.find("from=");
+      if (from == std::string::npos) {
+        answer(conn, true);
+      } else {
+        conn.from = std::atoll(head.c_str() + from + 5);
+        conn.held_since = now_us();
+      }
+    }
+    if (conn.held_since > 0 && (conn.from < index_ || now_us() - conn.held_since > kHold))
+      answer(conn, false);
+  }
+  std::erase_if(conns_, [](const Conn& conn) { return conn.fd < 0; });
+}
+
+Stage::Stage(const std::vector<std::string>& names, StageOptions o)
+    : options(std::move(o)),
+      quic_path_(temporary_path()),
+      second_path_(temporary_path()),
+      more_(options.quic),
+      router_(free_endpoint(options.family)) {
+  options.worker.family = options.family;
+  options.worker.proxy = options.proxy;
+  for (const std::string& name : names) {
+    workers.push_back(std::make_unique<Worker>(name, options.worker));
+    registry.set(name, workers.back()->address().text(), "ready");
+  }
+  std::ofstream(quic_path_) << quic_file(router_).dump();
+  program = start(quic_path_);
+}
+
+Stage::~Stage() {
+  clients.clear();
+  program.reset();
+  second.reset();
+  std::remove(quic_path_.c_str());
+  std::remove(second_path_.c_str());
+}
+
+json Stage::quic_file(const Endpoint& listen) const {
+  const quic::IdConfig& id = options.worker.ids;
+  json file = {{"enabled", true},
+               {"listen", listen.text()},
+               {"class", "telemetry"},
+               {"deadline_ms", options.deadline_ms},
+               {"idle_ms", 30000},
+               {"calls", 2000},
+               {"paths", 4000},
+               {"forwarding", options.proxy ? "proxy-v2" : "socket"},
+               {"ids", json::array({{{"rotation", id.rotation},
+                                     {"server_id_length", id.server_id_length},
+                                     {"nonce_length", id.nonce_length},
+                                     {"key", quic::hex(id.key)},
+                                     {"length_in_id", id.length_in_id}}})}};
+  if (!options.worker.reset_key.empty()) file["reset"] = {{"key", quic::hex(options.worker.reset_key)}};
+  file.update(more_);
+  return file;
+}
+
+std::unique_ptr<test::Program> Stage::start(const std::string& file) {
+  json settings = test::settings();
+  settings["limits"]["probes"] = false;  // these stand-ins speak QUIC only
+  return std::make_unique<test::Program>(registry.list(), settings, registry.port(), file, "/nonexistent",
+                                         options.files);
+}
+
+Client& Stage::client(ClientOptions o) {
+  o.family = options.family;
+  clients.push_back(std::make_unique<Client>(router_, o));
+  return *clients.back();
+}
+
+bool Stage::run(int ms, const std::function<bool()>& done) {
+  for (std::int64_t end = now_us() + ms * std::int64_t{1000}; now_us() < end; ::usleep(300)) {
+    registry.step();
+    for (auto& w : workers) w->step();
+    for (auto& c : clients) c->step();
+    if (done()) return true;
+  }
+  return done();
+}
+
+bool Stage::all_up() {
+  return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return c->handshaken(); });
+}
+
+bool Stage::all_answered() {
+  return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return c->all_answered_once(); });
+}
+
+void Stage::status(Worker& worker, const std::string& status) {
+  std::string address = worker.dead() ? "127.0.0.1:1" : worker.address().text();
+  registry.set(worker.name, address, status);
+}
+
+void Stage::tell_address(Worker& worker) { status(worker, "ready"); }
+
+void Stage::restart_router() {
+  program.reset();
+  program = start(quic_path_);
+}
+
+Endpoint Stage::second_router() {
+  Endpoint at = free_endpoint(options.family);
+  std::ofstream(second_path_) << quic_file(at).dump();
+  second = start(second_path_);
+  return at;
+}
+
+void Stage::write_quic(const json& more) {
+  more_.update(more);
+  std::ofstream(quic_path_) << quic_file(router_).dump();
+}
+
+void Stage::reload() {
+  program->signal(SIGHUP);
+  run(200);
+}
+
+std::string Stage::metric_text(bool of_second) {
+  test::Program& at = of_second ? *second : *program;
+  at.signal(SIGUSR1);
+  run(150);
+  return at.log();
+}
+
+double Stage::counter(const std::string& name, bool of_second) {
+  metric_text(of_second);
+  return (of_second ? *second : *program).counter(name);
+}
+
+}  // namespace marblehub::peers
--- /dev/null
+++ b/conformance/stage.h
@@ -0,0 +1,90 @@
+// The whole scene on loopback: a registry, workers, the balancer as the platform starts it, and clients.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peer.h"
+#include "support/program.h"
+
+namespace marblehub::peers {
+
+using nlohmann::json;
+
+// Answers the whole list at once and a watch when there is something newer (or after a while).
+class RegistryStandIn {
+ public:
+  RegistryStandIn();
+  ~RegistryStandIn();
+  int port() const { return port_; }
+  void set(const std::string& name, const std::string& address, const std::string& status);
+  void step();
+  json list() const;
+  bool watched() const;  // whether a watch is held, so that news are told at once
+
+ private:
+  struct Conn {
+    int fd;
+    std::string in;
+    std::int64_t held_since = 0;
+    std::int64_t from = -1;  // of the watch that is held
+  };
+  void answer(Conn& conn, bool whole);
+
+  int fd_, port_;
+  std::int64_t index_ = 1;
+  std::map<std::string, json> entries_;
+  std::map<std::string, std::int64_t> changed_;
+  std::vector<Conn> conns_;
+};
+
+struct StageOptions {
+  int family = AF_INET;
+  bool proxy = false;
+  json quic = json::object();  // laid over the file's usual contents
+  int deadline_ms = 1500;
+  rlim_t files = 1024;
+  WorkerOptions worker;
+};
+
+class Stage {
+ public:
+  Stage(const std::vector<std::string>& names, StageOptions options = {});
+  ~Stage();
+
+  Client& client(ClientOptions options = {});
+  // Runs everyone for so long, or until `done`; whether it was.
+  bool run(
+      int ms, const std::function<bool()>& done = [] { return false; });
+  bool all_up();        // whether every client has its connection
+  bool all_answered();  // whether every client has every answer, once
+  Worker& worker(std::size_t i) { return *workers[i]; }
+  void status(Worker& worker, const std::string& status);  // tells the registry
+  void tell_address(Worker& worker);                       // after a restart
+  // Kills the balancer outright and starts it anew on the same addresses, knowing its list only.
+  void restart_router();
+  // A second one beside it, with the same files but its own address.
+  Endpoint second_router();
+  void write_quic(const json& more);  // another quic.json; then reload()
+  void reload();
+  double counter(const std::string& name, bool second = false);
+  std::string metric_text(bool second = false);
+  const Endpoint& router() const { return router_; }
+
+  StageOptions options;
+  RegistryStandIn registry;
+  std::vector<std::unique_ptr<Worker>> workers;
+  std::vector<std::unique_ptr<Client>> clients;
+  std::unique_ptr<test::Program> program, second;
+
+ private:
+  json quic_file(const Endpoint& listen) const;
+  std::unique_ptr<test::Program> start(const std::string& file);
+  std::string quic_path_, second_path_;
+  json more_;
+  Endpoint router_;
+};
+
+}  // namespace marblehub::peers
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -33,6 +33,8 @@
       balancer_(startup.settings, startup.seed, clock.now()),
       message_aim_(50 * kMillisecond),
       taken_(metrics.counter("marblehub_calls_total", "Calls taken from clients")),
+      adopted_(metrics.counter("marblehub_adopted_total",
+                               "Standing connections taken over from another balancer")),
       served_(metrics.counter("marblehub_answers_total", "Final answers to clients", {{"answer", "served"}})),
       overloads_(
           metrics.counter("marblehub_answers_total", "Final answers to clients", {{"answer", "overload"}})),
@@ -101,6 +103,23 @@
   return exchange;
 }
 
+Exchange& Dispatcher::adopt(Call call, ClientSide& client, WorkerSide& workers, const std::string& worker,
+                            std::unique_ptr<Delegation> delegation) {
+  std::uint64_t id = next_id_++;
+  auto made = std::make_unique<Exchange>(*this, id, std::move(call), client, workers, now());
+  Exchange& exchange = *made;
+  calls_.emplace(id, std::move(made));
+  adopted_.add();
+  exchange.state_ = Exchange::State::standing;
+  exchange.worker_ = worker;
+  exchange.sent_at_ = now();
+  exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
+  exchange.delegation_ = std::move(delegation);
+  const Call& c = exchange.call();
+  tell(HandoverEvent{{id, c.request_class, c.expires_in, c.load_hint, c.returned, c.group}, worker});
+  return exchange;
+}
+
 // A connection from before the start goes back to its own worker, whatever the module would choose.
 void Dispatcher::hand_over(Exchange& exchange) {
   exchange.handed_tries_ += 1;
@@ -399,8 +418,9 @@
   if (timer.due == Due::again) return handed_again(*exchange);
   if (timer.due == Due::attempt) {
     if (!exchange->delegation_ || exchange->attempts_ - 1 != timer.attempt) return;
+    bool tells = exchange->delegation_->silence_tells();
     exchange->drop_delegation();  // first: no two delegations may be out at once
-    attempt_over(*exchange, Outcome::timeout, {}, false);
+    attempt_over(*exchange, tells ? Outcome::timeout : Outcome::not_sent, {}, false);
     return;
   }
   // The module answers well before the deadline; should it ever not, the client is owed its answer still.
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -29,6 +29,9 @@
 
   // ---- From the fronts.
   Exchange& take(Call call, ClientSide& client, WorkerSide& workers);
+  // A connection that stands already, at this worker: another balancer set it up, and it has come here.
+  Exchange& adopt(Call call, ClientSide& client, WorkerSide& workers, const std::string& worker,
+                  std::unique_ptr<Delegation> delegation);
   void probe_result(const std::string& worker, Time rtt, Outcome outcome, const LoadReport& report);
   void list_told(const config::WorkerList& list);
   void list_refused();
@@ -114,9 +117,9 @@
   bool pumping_ = false;
   Time message_aim_;
 
-  metrics::Metric &taken_, &served_, &overloads_, &failed_, &left_waiting_, &late_, &delegations_, &moves_,
-      &silent_moves_, &slow_notes_, &probes_, &lists_, &lists_refused_, &held_back_, &standing_gauge_,
-      &waiting_gauge_, &down_gauge_;
+  metrics::Metric &taken_, &adopted_, &served_, &overloads_, &failed_, &left_waiting_, &late_, &delegations_,
+      &moves_, &silent_moves_, &slow_notes_, &probes_, &lists_, &lists_refused_, &held_back_,
+      &standing_gauge_, &waiting_gauge_, &down_gauge_;
   std::vector<metrics::Metric*> outcomes_, probe_outcomes_;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -88,11 +88,24 @@
     return std::make_unique<metrics::RemoteWrite>(loop_, std::move(settings), metrics_);
   }
 
+  // The second front's file, checked against the list of workers; none where there is no file or it is off.
+  static std::optional<quic::QuicSettings> quic_settings(const config::Startup& startup) {
+    auto options = optional_file(startup.quic_file);
+    if (!options) return std::nullopt;
+    auto settings =
+        quic::quic_settings_from(*options, std::filesystem::path(startup.quic_file).parent_path());
+    if (!settings.enabled) return std::nullopt;
+    std::vector<std::string> names;
+    for (const config::WorkerEntry& worker : startup.known.workers) names.push_back(worker.backend.address);
+    for (const std::string& finding : quic::server_id_conflicts(settings, names))
+      throw config::DecodeError(startup.quic_file + ": " + finding);
+    return settings;
+  }
+
   std::unique_ptr<quic::Front> quic_front() {
-    auto options = optional_file(startup_.quic_file);
-    if (!options) return nullptr;
-    quic::QuicSettings settings = quic::quic_settings_from(*options);
-    if (!settings.enabled) return nullptr;
+    auto decoded = quic_settings(startup_);
+    if (!decoded) return nullptr;
+    quic::QuicSettings settings = std::move(*decoded);
     log::info("QUIC connection ids are routed on {}", settings.listen);
     return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), room_, metrics_);
   }
@@ -101,6 +114,18 @@
   void reload() {
     try {
       config::Loaded loaded = config::load_startup(path_);
+      // Both files are taken or neither: the second front's refusal comes before anything is followed.
+      auto quic = quic_settings(loaded.startup);
+      if (quic_ && quic) {
+        try {
+          for (const std::string& key : quic_->reload(std::move(*quic)))
+            log::warning("quic: {} has changed, which takes a restart to follow", key);
+        } catch (const std::exception& error) {
+          throw std::runtime_error(startup_.quic_file + ": " + error.what());
+        }
+      } else if (quic || quic_) {
+        log::warning("quic: enabled has changed, which takes a restart to follow");
+      }
       for (const std::string& key : config::needs_restart(values_, loaded.values))
         log::warning("{} has changed, which takes a restart to follow", key);
       registry_.follow(loaded.startup.registry);
--- /dev/null
+++ b/src/quic/flow.h
@@ -0,0 +1,105 @@
+// A call from its first Initial, and the connection that came of it; and the paths on which it goes. Small,
+// as there are tens of thousands: what only the handshake needs is freed with it.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/exchange.h"
+#include "quic/datagrams.h"
+#include "quic/packet.h"
+#include "quic/worker_table.h"
+
+namespace marblehub::quic {
+
+class Front;
+class Flow;
+class Path;
+
+// A socket to one worker: of all its clients (proxy-v2) or of one path (socket).
+class Upstream {
+ public:
+  Upstream(Front& front, WorkerTable::Worker& worker, Path* only);
+  bool open();  // to where the worker is now
+  void close();
+  bool is_open() const { return static_cast<bool>(fd_); }
+  int fd() const { return fd_.get(); }
+
+  Front& front;
+  WorkerTable::Worker& worker;
+  Path* const only;  // none where it serves all
+  std::unique_ptr<Sender> sender;
+  bool dirty = false;  // there is something to flush
+
+ private:
+  net::Fd fd_;
+  net::IoWatch io_;
+};
+
+// One client address to one worker.
+class Path {
+ public:
+  Path(Front& front, const Endpoint& client, WorkerTable::Worker& worker)
+      : front(front), worker(worker), client(client) {}
+
+  Front& front;
+  WorkerTable::Worker& worker;
+  Endpoint client;
+  Flow* flow = nullptr;           // the call or connection that it carries, where known
+  std::unique_ptr<Upstream> own;  // its socket where it has one of its own
+  Time used = 0;
+  bool listed = false;  // in the table by client and worker
+  // Until its connection is known: how often each side has spoken, and the latest id.
+  std::uint8_t from_client = 0, from_worker = 0;
+  ConnectionId last_id;
+  // In the order of use, so that the longest unused gives way at once.
+  Path *older = nullptr, *newer = nullptr;
+};
+
+class Flow final : public core::ClientSide, public core::WorkerSide {
+ public:
+  Flow(Front& front, const Header& header, const Endpoint& from);
+
+  // ---- The client's side.
+  void established(std::string_view receipt) override;
+  void overload_reply(Time pause) override;
+  void failed(std::string_view) override;
+  void deliver(std::string_view) override {}
+  void hold(bool) override {}
+  // Only the worker can move its client: the connection is its own. It is asked until it says END.
+  void redirect() override;
+  void ended(core::Ending) override;
+
+  // ---- The worker's side.
+  std::unique_ptr<core::Delegation> delegate(core::Exchange& to, const std::string& worker,
+                                             const std::string& address, Time wait) override;
+
+  void ask_to_move();
+  // Whether so much more may go to the client: three times what came in until its address is validated
+  // (RFC 9000, 8.1).
+  bool may_answer(std::size_t octets);
+  bool silence_tells() const;
+  Front& front;
+  ConnectionId first_destination, client_source;  // what its Initials carry; the key in the table
+  ConnectionId original;   // the first of all, where a Retry of the router's changed it; else empty
+  ConnectionId keys_from;  // the id that its Initial keys come from: a worker's Retry changes it
+  std::uint32_t version = kVersion1;
+  Endpoint client;
+  core::Exchange* exchange = nullptr;
+  Path* path = nullptr;  // to the worker that holds it, or that is being tried
+  std::vector<ConnectionId> links;
+  std::unique_ptr<std::vector<std::string>> flight;  // the client's first datagrams, for another attempt
+  std::string closing;                               // the answer to a call that was not established
+  bool standing = false, done = false, validated = false, trying = false;
+  bool by_tuple = false;  // its ids name no worker: it is known by its address alone
+  bool bound = false;     // its worker has sent it a Retry: no other could take it up
+  signed char moves_left = 0;
+  std::size_t octets_in = 0, octets_out = 0;  // until validated
+  Time used = 0;
+
+ private:
+  void answer(std::string_view reason);
+};
+
+}  // namespace marblehub::quic
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -1,212 +1,45 @@
 #include "quic/front.h"
 
 #include <fmt/format.h>
-#include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <deque>
 #include <stdexcept>
 
 #include "log/log.h"
-#include "net/stream.h"
 #include "quic/initial.h"
 
 namespace marblehub::quic {
 
 using core::Ending;
-using core::Outcome;
 
 namespace {
 
-constexpr std::size_t kDatagram = 65536;
-constexpr int kAtOnce = 64;              // datagrams taken before others have their turn
+constexpr int kBatches = 4;              // taken from clients before others have their turn
 constexpr std::size_t kFlightBound = 8;  // datagrams of a client's first flight that are kept for a retry
-constexpr std::size_t kLinksBound = 8;   // connection ids remembered for one connection
+constexpr std::size_t kEarlyBound = 64;  // clients whose 0-RTT came before their Initial, and of each
+constexpr std::size_t kEarlyDatagrams = 4;
+constexpr Time kEarlyKept = 500'000;
 constexpr Time kSweep = 200'000;
-constexpr Time kAnswerKept = 3'000'000;  // a client that repeats its Initial gets the same answer so long
-constexpr int kMoveRepeats = 5;
-
-// Control messages between the router and a worker share the workers' sockets. No QUIC packet and no other
-// protocol that RFC 9443 tells apart by its first octet begins like this.
-constexpr std::string_view kControl = "\x04MARBLE1 ";
-
-std::string key_of(const sockaddr_in& address) {
-  return std::string(reinterpret_cast<const char*>(&address.sin_addr), sizeof address.sin_addr) +
-         std::string(reinterpret_cast<const char*>(&address.sin_port), sizeof address.sin_port);
-}
+constexpr Time kAnswerKept = 3'000'000;     // a client that repeats its Initial gets the same answer so long
+constexpr std::size_t kShortestTuple = 43;  // of a packet without a worker's id that may begin a call
 
 }  // namespace
 
-// One client address to one worker: a socket of its own, so that the worker's replies name their client and
-// a client that changes its address is a new peer to the worker, as it would be without a router.
-class Path {
- public:
-  Path(Front& front, const sockaddr_in& client, std::string worker)
-      : front_(front),
-        client(client),
-        worker(std::move(worker)),
-        io_(front.loop_, [this](int) { receive(); }) {}
-
-  bool open(const sockaddr_in& to) {
-    fd_ = net::Fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (!fd_ || ::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) return false;
-    io_.start(fd_.get(), EV_READ);
-    return true;
-  }
-  void close() {
-    io_.stop();
-    fd_.reset();
-    flow = nullptr;
-  }
-  void send(std::string_view bytes) {
-    used = front_.loop_.now();
-    if (fd_) ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);  // a loss is for QUIC to mend
-  }
-
-  Front& front_;
-  sockaddr_in client;
-  const std::string worker;
-  Flow* flow = nullptr;  // the call or connection that it carries, where known
-  Time used = 0;
-  std::optional<std::pair<std::string, std::string>> place;  // in the table by client and worker
-
- private:
-  void receive() {
-    static char buffer[kDatagram];
-    for (int i = 0; i < kAtOnce && fd_; ++i) {
-      ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
-      if (n < 0 && errno == ECONNREFUSED) return front_.worker_lost(*this);
-      if (n < 0) return;
-      used = front_.loop_.now();
-      front_.from_worker(*this, std::string_view(buffer, static_cast<std::size_t>(n)));
-    }
-  }
-
-  net::Fd fd_;
-  net::IoWatch io_;
-};
-
-// A call from its first Initial, and the connection that came of it. It is both sides' front to the exchange.
-class Flow final : public core::ClientSide, public core::WorkerSide {
- public:
-  Flow(Front& front, std::string key, const Header& header, const sockaddr_in& from)
-      : front_(front),
-        key(std::move(key)),
-        first_destination(header.destination),
-        client_source(header.source),
-        client(from) {}
-
-  // ---- The client's side.
-  void established(std::string_view receipt) override {
-    standing = true;
-    flight.clear();
-    front_.to_client(client, receipt);
-  }
-  void overload_reply(Time pause) override {
-    answer(pause > 0 ? fmt::format("busy, come again after {} ms", (pause + 999) / 1000) : "busy");
-  }
-  void failed(std::string_view) override { answer("failed"); }
-  void deliver(std::string_view) override {}
-  void hold(bool) override {}
-  // Only the worker can move its client: the connection is its own. It is asked until it says END.
-  void redirect() override {
-    exchange = nullptr;
-    moves_left = kMoveRepeats;
-    ask_to_move();
-  }
-  void ended(Ending) override {
-    exchange = nullptr;
-    done = true;
-  }
-
-  // ---- The worker's side.
-  std::unique_ptr<core::Delegation> delegate(core::Exchange& to, const std::string& worker,
-                                             const std::string& address, Time wait) override;
-
-  void ask_to_move() {
-    if (moves_left-- > 0 && path) path->send(std::string(kControl) + "MOVE " + hex(first_destination));
-  }
-
-  Front& front_;
-  const std::string key, first_destination, client_source;
-  sockaddr_in client;
-  core::Exchange* exchange = nullptr;
-  std::shared_ptr<Path> path;  // to the worker that holds it, or that is being tried
-  std::deque<std::string> flight, links;
-  std::string closing;  // the answer to a call that was not established
-  bool standing = false, done = false;
-  int moves_left = 0;
-  Time used = 0;
-
- private:
-  void answer(std::string_view reason) {
-    exchange = nullptr;
-    Header header;
-    header.destination = first_destination;
-    header.source = client_source;
-    closing = close_initial(header, kConnectionRefused, reason);
-    used = front_.loop_.now();
-    front_.closes_.add();
-    front_.to_client(client, closing);
-  }
-};
-
-// One delegation over QUIC. Until the worker's first reply it owns its path; then the path goes on by itself.
-class Attempt final : public core::Delegation {
- public:
-  Attempt(Flow& flow, core::Exchange& exchange)
-      : flow_(flow), exchange_(exchange), failed_(flow.front_.loop_, [this] {
-          exchange_.worker_ended(failure_, Ending::broken);  // this ends with it
-        }) {}
-  ~Attempt() override {
-    if (flow_.standing || !flow_.path) return;
-    flow_.front_.drop_path(flow_.path);
-    flow_.path.reset();
-  }
-  void fail(Outcome why) {
-    failure_ = why;
-    failed_.start(0);
-  }
-  void deliver(std::string_view) override {}
-  void hold(bool) override {}
-  void finish(Ending) override {}
-
- private:
-  Flow& flow_;
-  core::Exchange& exchange_;
-  net::TimerWatch failed_;
-  Outcome failure_ = Outcome::connect_failed;
-};
-
-std::unique_ptr<core::Delegation> Flow::delegate(core::Exchange& to, const std::string& worker,
-                                                 const std::string&, Time) {
-  auto attempt = std::make_unique<Attempt>(*this, to);
-  path = front_.make_path(client, worker);
-  if (!path) {
-    // Our own want of a descriptor or of room in the table says nothing of the worker.
-    bool known = net::parse_address(front_.address_of(worker)).has_value();
-    attempt->fail(known ? Outcome::not_sent : Outcome::connect_failed);
-    return attempt;
-  }
-  path->flow = this;
-  for (const std::string& datagram : flight) path->send(datagram);
-  return attempt;
-}
-
-// ---- Datagrams from clients ------------------------------------------------------------------------
-
 Front::Front(net::Loop& loop, core::Dispatcher& dispatcher, QuicSettings settings, net::Room& room,
              metrics::Registry& metrics)
     : loop_(loop),
       dispatcher_(dispatcher),
       settings_(std::move(settings)),
-      codec_(settings_.ids),
+      ids_(settings_.ids),
+      validation_(settings_.retry),
+      reset_(settings_.reset_key, settings_.resets_per_second),
       request_class_(dispatcher.class_named(settings_.request_class)),
       room_(room),
-      fd_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      listen_(Endpoint::parse(settings_.listen).value_or(Endpoint())),
+      fd_(listen_.known() ? listening_socket(listen_) : net::Fd()),
       io_(loop, [this](int) { receive(); }),
       sweep_(loop, [this] { sweep(); }),
+      to_clients_(listen_.family()),
       in_(metrics.counter("marblehub_quic_datagrams_received_total", "Datagrams from QUIC clients")),
       out_(metrics.counter("marblehub_quic_datagrams_sent_total", "Datagrams to QUIC clients")),
       malformed_(metrics.counter("marblehub_quic_malformed_total", "Datagrams that are no QUIC")),
@@ -219,13 +52,31 @@
       closes_(metrics.counter("marblehub_quic_closes_total", "Calls answered with CONNECTION_CLOSE")),
       new_addresses_(metrics.counter("marblehub_quic_address_changes_total",
                                      "Connections that went on from another address")),
+      retries_(metrics.counter("marblehub_quic_retries_total", "Retry packets sent")),
+      bad_tokens_(metrics.counter("marblehub_quic_bad_tokens_total",
+                                  "Initials with a token of ours that was late, used or another client's")),
+      resets_(metrics.counter("marblehub_quic_stateless_resets_total",
+                              "Stateless resets sent in place of a worker that is gone")),
+      dropped_(
+          metrics.counter("marblehub_quic_send_drops_total", "Datagrams that the system would not take")),
+      over_budget_(metrics.counter("marblehub_quic_amplification_stops_total",
+                                   "Replies kept from an address that is not validated")),
+      late_replies_(metrics.counter("marblehub_quic_late_replies_total",
+                                    "Replies of workers to calls that had been given up")),
+      adopted_(metrics.counter("marblehub_quic_adopted_total",
+                               "Connections taken over from another router or an earlier start")),
+      left_(metrics.counter("marblehub_quic_left_total", "Connections that went on through another router")),
+      moves_(metrics.counter("marblehub_quic_move_requests_total", "Requests to workers to move a client")),
       calls_gauge_(metrics.gauge("marblehub_quic_flows", "Calls and connections in the table")),
-      paths_gauge_(metrics.gauge("marblehub_quic_paths", "Client addresses with a socket to a worker")) {
-  auto address = net::parse_address(settings_.listen);
-  if (!address) throw std::runtime_error("quic: listen: expected an address a.b.c.d:port");
+      paths_gauge_(metrics.gauge("marblehub_quic_paths", "Client addresses with a path to a worker")),
+      asking_gauge_(metrics.gauge("marblehub_quic_retry_on", "1 while clients are asked for a Retry")),
+      retiring_gauge_(metrics.gauge("marblehub_quic_configs_retiring",
+                                    "Id configurations that a reload took out and that still route")),
+      closed_gauge_(metrics.gauge("marblehub_quic_workers_closed", "Workers whose port was found closed")),
+      sockets_gauge_(metrics.gauge("marblehub_quic_sockets", "Descriptors held for sockets to workers")) {
+  if (!listen_.known()) throw std::runtime_error("quic: listen: expected an address and port");
   if (request_class_ < 0) throw std::runtime_error("quic: class: expected one of the settings' classes");
-  if (::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0)
-    throw std::runtime_error("quic: cannot listen on " + settings_.listen);
+  if (!fd_) throw std::runtime_error("quic: cannot listen on " + settings_.listen);
   io_.start(fd_.get(), EV_READ);
   sweep_.start(kSweep);
 }
@@ -239,257 +90,274 @@
 
 void Front::close() { closed_ = true; }
 
+std::vector<std::string> Front::reload(QuicSettings next) {
+  if (std::string conflict = ids_.conflict(next.ids); !conflict.empty()) throw std::runtime_error(conflict);
+  std::vector<std::string> names;
+  for (const auto& [name, worker] : dispatcher_.workers())
+    if (worker.health != lemonspread::Health::deleted) names.push_back(name);
+  if (auto found = server_id_conflicts(next, names); !found.empty()) throw std::runtime_error(found[0]);
+  std::vector<std::string> later = needs_restart(settings_, next);
+  // From here on nothing fails.
+  next.listen = settings_.listen;
+  next.forwarding = settings_.forwarding;
+  ids_.replace(next.ids, loop_.now(), next.retire);
+  // Tokens that are under way must go on counting: only another way or another key begins anew.
+  const ValidationSettings &was = settings_.retry, &is = next.retry;
+  if (was.mode != is.mode || was.secret != is.secret || was.from_rate != is.from_rate ||
+      was.token_life != is.token_life || was.key_life != is.key_life)
+    validation_ = AddressValidation(is);
+  if (next.reset_key != settings_.reset_key || next.resets_per_second != settings_.resets_per_second)
+    reset_ = StatelessReset(next.reset_key, next.resets_per_second);
+  settings_ = std::move(next);
+  stale_workers_ = true;
+  return later;
+}
+
+// ---- Datagrams from clients ------------------------------------------------------------------------
+
 void Front::receive() {
-  static char buffer[kDatagram];
-  for (int i = 0; i < kAtOnce; ++i) {
-    sockaddr_in from{};
-    socklen_t size = sizeof from;
-    ssize_t n = ::recvfrom(fd_.get(), buffer, sizeof buffer, 0, reinterpret_cast<sockaddr*>(&from), &size);
-    if (n < 0) return;
-    in_.add();
-    datagram(std::string_view(buffer, static_cast<std::size_t>(n)), from);
+  now_ = loop_.now();
+  for (int i = 0; i < kBatches; ++i) {
+    auto found = receiver_.receive(fd_.get(), false, [this](const Datagram& d) { from_client(d); });
+    flush();
+    if (found != Receiver::Found::more) break;
   }
+  now_ = 0;
 }
 
-void Front::datagram(std::string_view bytes, const sockaddr_in& from) {
-  auto header = parse(bytes);
-  if (!header || header->kind == Kind::negotiation || header->kind == Kind::retry) {
-    malformed_.add();  // a client sends neither of these two
-    return;
-  }
-  if (header->kind == Kind::other_version) {
-    unknown_version_.add();
-    // Only a datagram that could begin a connection is answered: the answer is never longer than what came.
-    if (bytes.size() >= kSmallestInitial) to_client(from, version_negotiation(*header, {kVersion1}));
-    return;
-  }
+void Front::from_client(const Datagram& datagram) {
+  in_.add();
+  const Endpoint& from = datagram.from;
+  auto header = parse(datagram.bytes);
+  if (!header || header->kind == Kind::negotiation || header->kind == Kind::retry)
+    return malformed_.add();  // a client sends neither of these two
+  refresh_workers();
   if (header->kind == Kind::short_header) {
-    auto id = codec_.decode(header->destination, false);
-    if (!id) return unknown_id_.add();
-    return route(*id, bytes, from);
+    auto id = ids_.codec().decode(header->destination, false);
+    if (id) return route(*id, datagram.bytes, datagram);
+    if (unroutable(header->destination)) return by_tuple(datagram.bytes, datagram);
+    return unknown_id_.add();
+  }
+  bool spoken = std::find(settings_.versions.begin(), settings_.versions.end(), header->version) !=
+                settings_.versions.end();
+  if (header->kind == Kind::other_version || !spoken) return other_version(*header, datagram.bytes, from);
+  std::string_view bytes = datagram.bytes.substr(0, sound_length(datagram.bytes, *header));
+  auto known = flows_.find(flow_key(header->destination, header->source).view());
+  if (known != flows_.end()) {
+    Flow& flow = *known->second;
+    flow.used = now_;
+    if (!flow.validated) flow.octets_in += datagram.bytes.size();
+    if (!flow.closing.empty()) {
+      if (flow.may_answer(flow.closing.size())) to_client(from, flow.closing);
+      return;
+    }
+    return flow.standing ? follow(flow, bytes, datagram) : waiting(flow, datagram, bytes);
   }
-  auto flow = flows_.find(std::string(header->destination) + '/' + std::string(header->source));
-  if (flow != flows_.end()) {
-    Flow& f = *flow->second;
-    f.used = loop_.now();
-    if (!f.closing.empty()) return to_client(from, f.closing);
-    if (f.standing) return follow(f, from, bytes);
-    f.client = from;  // it may change its address before the worker's first reply
-    if (f.path) f.path->client = from;
-    if (f.flight.size() < kFlightBound) f.flight.emplace_back(bytes);
-    if (f.path) f.path->send(bytes);
-    return;
+  if (Flow* flow = linked(header->destination)) {  // an id that its worker gave out
+    flow->validated = true;                        // to know it, it has heard the worker
+    return flow->standing ? follow(*flow, bytes, datagram) : waiting(*flow, datagram, bytes);
   }
-  if (auto id = codec_.decode(header->destination, true); id && worker_of(*id))
-    return route(*id, bytes, from);
-  if (header->kind != Kind::initial) return unknown_id_.add();
-  new_client(*header, bytes, from);
+  // An Initial whose id names a worker only by chance, or by design, has no claim to it: where a call goes,
+  // and whether anything new goes to a worker that drains, is the module's to say.
+  if (header->kind == Kind::initial) return initial(*header, datagram.bytes, from);
+  if (header->kind == Kind::zero_rtt) return stash(*header, bytes);
+  if (auto id = ids_.codec().decode(header->destination, true)) return route(*id, bytes, datagram);
+  if (unroutable(header->destination)) return by_tuple(bytes, datagram);
+  unknown_id_.add();
 }
 
-void Front::new_client(const Header& header, std::string_view bytes, const sockaddr_in& from) {
-  if (bytes.size() < kSmallestInitial || header.destination.size() < kShortestFirstId)
+void Front::other_version(const Header& header, std::string_view bytes, const Endpoint& from) {
+  unknown_version_.add();
+  // Only a datagram that could begin a connection is answered: the answer is never longer than what came.
+  if (bytes.size() >= kSmallestInitial) to_client(from, version_negotiation(header, settings_.versions));
+}
+
+void Front::initial(const Header& header, std::string_view bytes, const Endpoint& from) {
+  if (bytes.size() < kSmallestInitial || header.destination.size() < kShortestFirstId || !header.fixed)
     return malformed_.add();  // RFC 9000, 14.1 and 7.2
-  if (closed_) return;
+  if (closed_) return to_client(from, close_initial(header, kConnectionRefused, "leaving"));
+  AddressValidation::Judged judged = validation_.judge(header, from, loop_.now());
+  using Verdict = AddressValidation::Verdict;
+  if (judged.verdict == Verdict::refuse) {
+    bad_tokens_.add();
+    return to_client(from, close_initial(header, kInvalidToken, "token"));
+  }
+  if (judged.verdict == Verdict::ask) {
+    retries_.add();
+    return to_client(from, validation_.retry(header, from, loop_.now()));
+  }
+  new_call(header, bytes, from, judged.token);
+}
+
+void Front::new_call(const Header& header, std::string_view bytes, const Endpoint& from,
+                     const std::optional<RetryToken>& token) {
   if (flows_.size() >= settings_.calls) {
     full_.add();
     return to_client(from, close_initial(header, kConnectionRefused, "busy"));
   }
-  std::string key = std::string(header.destination) + '/' + std::string(header.source);
-  auto flow = std::make_shared<Flow>(*this, key, header, from);
-  flows_.emplace(key, flow);
-  flow->used = loop_.now();
-  flow->flight.emplace_back(bytes);
+  auto flow = std::make_shared<Flow>(*this, header, from);
+  if (token) {
+    flow->original = token->original;
+    flow->validated = true;
+  }
+  flow->flight = std::make_unique<std::vector<std::string>>();
+  flow->flight->emplace_back(bytes.substr(0, sound_length(bytes, header)));
+  FlowKey key = flow_key(header.destination, header.source);
+  if (auto early = early_.find(std::string(key.view())); early != early_.end()) {
+    for (std::string& datagram : early->second.datagrams) flow->flight->push_back(std::move(datagram));
+    early_.erase(early);
+  }
+  take(std::move(flow), key, bytes);
+}
+
+// The one place where a call of this front begins.
+Flow* Front::take(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes) {
+  Flow* raw = flow.get();
+  flows_.emplace(key, std::move(flow));
+  raw->used = now_;
+  raw->octets_in = bytes.size();
   core::Call call;
   call.request_class = request_class_;
   call.expires_in = settings_.deadline;
-  core::Exchange& exchange = dispatcher_.take(std::move(call), *flow, *flow);
-  if (flow->closing.empty()) flow->exchange = &exchange;  // else it was answered from within
+  core::Exchange& exchange = dispatcher_.take(std::move(call), *raw, *raw);
+  if (raw->closing.empty() && !raw->done) raw->exchange = &exchange;  // else it was answered from within
+  return raw;
 }
 
-void Front::route(const IdCodec::Decoded& id, std::string_view bytes, const sockaddr_in& from) {
-  const std::string* worker = worker_of(id);
-  if (!worker) return unknown_id_.add();
-  if (auto linked = links_.find(std::string(id.id)); linked != links_.end() && linked->second->path)
-    return follow(*linked->second, from, bytes);
-  std::shared_ptr<Path> path = path_between(from, *worker);
-  if (!path) return;
-  if (path->flow) {  // the client took up another of its ids
-    link(*path->flow, id.id);
-    path->flow->used = loop_.now();
+// More of a call that no worker has replied to. The client may have another address by now.
+void Front::waiting(Flow& flow, const Datagram& datagram, std::string_view bytes) {
+  flow.used = now_;
+  if (!(flow.client == datagram.from)) {
+    bool trying = flow.trying;
+    if (trying) stop_trying(flow);
+    flow.client = datagram.from;
+    if (flow.path) flow.path->client = datagram.from;
+    if (trying) begin_trying(flow);
   }
-  path->send(bytes);
+  if (flow.flight && flow.flight->size() < kFlightBound) flow.flight->emplace_back(bytes);
+  if (flow.path) send_first(flow, bytes);
 }
 
-// A connection goes on from whatever address its client has now.
-void Front::follow(Flow& flow, const sockaddr_in& from, std::string_view bytes) {
-  flow.used = loop_.now();
-  if (key_of(flow.path->client) != key_of(from)) {
-    std::shared_ptr<Path> path = path_between(from, flow.path->worker);
-    if (!path) return;
-    if (path != flow.path) {
-      new_addresses_.add();
-      attach(flow, path);
-    }
+// 0-RTT that has overtaken its Initial (RFC 9000, 5.2.2) waits for it a moment.
+void Front::stash(const Header& header, std::string_view bytes) {
+  std::string key(flow_key(header.destination, header.source).view());
+  auto it = early_.find(key);
+  if (it == early_.end()) {
+    if (early_.size() >= kEarlyBound) return unknown_id_.add();
+    it = early_.emplace(std::move(key), Early{{}, now_}).first;
   }
-  flow.path->send(bytes);
+  if (it->second.datagrams.size() < kEarlyDatagrams) it->second.datagrams.emplace_back(bytes);
 }
 
-// ---- Datagrams from workers ------------------------------------------------------------------------
-
-void Front::from_worker(Path& path, std::string_view bytes) {
-  if (bytes.starts_with(kControl)) return control(path, bytes.substr(kControl.size()));
-  Flow* flow = path.flow;
-  auto header = parse(bytes);
-  if (flow) flow->used = loop_.now();
-  if (flow && header && header->kind != Kind::short_header && header->kind != Kind::negotiation &&
-      codec_.decode(header->source, true))
-    link(*flow, header->source);
-  if (!flow || flow->standing) return to_client(path.client, bytes);
-  if (!flow->exchange) return;
-  flow->path->client = flow->client;
-  flow->standing = true;
-  register_path(flow->path);
-  flow->exchange->worker_up(bytes);
+// The unroutable codepoint (draft, 3.1): the id names no worker, so the client's address has to.
+void Front::by_tuple(std::string_view bytes, const Datagram& datagram) {
+  FlowKey key = tuple_key(datagram.from);
+  if (auto known = flows_.find(key.view()); known != flows_.end()) {
+    Flow& flow = *known->second;
+    flow.used = now_;
+    if (!flow.validated) flow.octets_in += datagram.bytes.size();
+    if (flow.done) return;
+    return flow.standing ? follow(flow, bytes, datagram) : waiting(flow, datagram, bytes);
+  }
+  // Nothing proves such a packet's address or that it belongs to anything: in a flood none is taken.
+  if (bytes.size() < kShortestTuple || !(bytes[0] & 0x40) || closed_ || validation_.asking() ||
+      flows_.size() >= settings_.calls)
+    return unknown_id_.add();
+  auto flow = std::make_shared<Flow>(*this, Header(), datagram.from);
+  flow->by_tuple = true;
+  flow->flight = std::make_unique<std::vector<std::string>>(1, std::string(bytes));
+  take(std::move(flow), key, bytes);
 }
 
-void Front::control(Path& path, std::string_view words) {
-  std::size_t space = words.find(' ');
-  std::string_view verb = words.substr(0, space);
-  std::string_view rest = space == std::string_view::npos ? "" : words.substr(space + 1);
-  std::string_view first = rest.substr(0, rest.find(' '));
-  Flow* flow = path.flow;
-  if (!flow || unhex(first) != flow->first_destination) return malformed_.add();
-  if (verb == "BUSY" && !flow->standing && flow->exchange) {
-    flow->exchange->worker_ended(Outcome::full, Ending::finished);
-  } else if (verb == "LINK" && flow->standing && rest.size() > first.size()) {
-    auto id = unhex(rest.substr(first.size() + 1));
-    if (id && codec_.decode(*id, true)) link(*flow, *id);
-  } else if (verb == "END" && flow->standing) {
-    if (flow->exchange) flow->exchange->worker_ended(Outcome::served, Ending::finished);
-    flow->done = true;
+void Front::route(const IdCodec::Decoded& id, std::string_view bytes, const Datagram& datagram) {
+  WorkerTable::Worker* worker = workers_.of(id);
+  if (!worker) return unknown_id_.add();
+  if (Flow* flow = linked(id.id); flow && flow->path) {
+    flow->validated = true;
+    return follow(*flow, bytes, datagram);
+  }
+  if (workers_.dead(*worker)) {
+    reset_for(id.id, bytes, datagram.from);
+    if (worker->gone || !workers_.may_send(*worker, now_)) return;
+  }
+  Path* path = path_between(datagram.from, *worker);
+  if (!path) return;
+  touch(*path);
+  path->last_id = id.id;
+  if (path->flow) {  // the client took up another of its ids
+    link(*path->flow, id.id);
+    path->flow->used = now_;
   } else {
-    malformed_.add();
+    if (path->from_client < 255) path->from_client += 1;
+    if (path->from_client >= 2 && path->from_worker >= 2) adopt(*path);
   }
+  send_to_worker(*path, bytes, datagram.ecn);
 }
 
-void Front::worker_lost(Path& path) {
-  lost_.add();
-  Flow* flow = path.flow;
-  if (!flow || !flow->exchange || flow->path.get() != &path) return;
-  // Refused before any reply: the worker has not seen it. After that it took the connection along.
-  flow->exchange->worker_ended(flow->standing ? Outcome::reset : Outcome::connect_failed, Ending::broken);
-}
-
-void Front::to_client(const sockaddr_in& client, std::string_view bytes) {
-  out_.add();
-  ::sendto(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&client),
-           sizeof client);
-}
-
-// ---- Tables ----------------------------------------------------------------------------------------
-
-std::shared_ptr<Path> Front::make_path(const sockaddr_in& client, const std::string& worker) {
-  auto to = net::parse_address(address_of(worker));
-  bool full = all_paths_.size() >= settings_.paths;
-  if (full || room_.scarce()) {  // the one that has been of no use for longest makes room
-    std::shared_ptr<Path> oldest;
-    for (auto& [raw, path] : all_paths_)
-      if (!path->flow && (!oldest || path->used < oldest->used)) oldest = path;
-    if (oldest) drop_path(oldest);
-    if (!oldest && (full || room_.none())) {
-      full_.add();
-      return nullptr;
+// A connection goes on from whatever address its client has now.
+void Front::follow(Flow& flow, std::string_view bytes, const Datagram& datagram) {
+  flow.used = now_;
+  if (!flow.path) return;
+  WorkerTable::Worker& worker = flow.path->worker;
+  if (workers_.dead(worker)) {
+    auto header = parse(bytes);  // it was one: it has been parsed before
+    auto id = ids_.codec().decode(header->destination, header->kind != Kind::short_header);
+    if (id) reset_for(id->id, bytes, datagram.from);
+    lose(flow, core::Outcome::reset);
+    if (worker.gone || !workers_.may_send(worker, now_) || !flow.path) return;
+  }
+  if (!(flow.path->client == datagram.from)) {
+    Path* path = path_between(datagram.from, worker);
+    if (!path) return;
+    if (path != flow.path) {
+      new_addresses_.add();
+      attach(flow, *path);
     }
   }
-  auto path = std::make_shared<Path>(*this, client, worker);
-  if (!to || !path->open(*to)) return nullptr;
-  path->used = loop_.now();
-  all_paths_[path.get()] = path;
-  return path;
-}
-
-std::shared_ptr<Path> Front::path_between(const sockaddr_in& client, const std::string& worker) {
-  auto known = paths_.find({key_of(client), worker});
-  if (known != paths_.end()) return known->second;
-  std::shared_ptr<Path> path = make_path(client, worker);
-  if (path) register_path(path);
-  return path;
-}
-
-void Front::register_path(const std::shared_ptr<Path>& path) {
-  std::pair place{key_of(path->client), path->worker};
-  if (paths_.try_emplace(place, path).second) path->place = place;
-}
-
-// The one place where a path's descriptor is given back.
-void Front::drop_path(const std::shared_ptr<Path>& path) {
-  auto held = path;
-  held->close();
-  all_paths_.erase(held.get());
-  if (held->place) paths_.erase(*held->place);
-  loop_.bury(held);  // its own receive may be what led here
+  send_to_worker(*flow.path, bytes, datagram.ecn);
 }
 
-void Front::attach(Flow& flow, const std::shared_ptr<Path>& path) {
-  if (flow.path)
-    flow.path->flow = nullptr;  // the old one still carries what is under way, until it falls idle
-  flow.path = path;
-  flow.client = path->client;
-  path->flow = &flow;
+void Front::reset_for(std::string_view id, std::string_view bytes, const Endpoint& to) {
+  // Also for a handshake's packet (RFC 9000, 10.3): its client may have the token already.
+  auto packet = reset_.answer(id, bytes.size(), loop_.now());
+  if (!packet) return;
+  resets_.add();
+  to_client(to, *packet);
 }
 
-void Front::link(Flow& flow, std::string_view id) {
-  auto [it, fresh] = links_.try_emplace(std::string(id), &flow);
-  if (!fresh) return;
-  flow.links.emplace_back(id);
-  if (flow.links.size() <= kLinksBound) return;
-  links_.erase(flow.links.front());
-  flow.links.pop_front();
+void Front::to_client(const Endpoint& client, std::string_view bytes) {
+  out_.add();
+  send_now(fd_.get(), "", bytes, &client);
 }
 
-void Front::remove(Flow& flow) {
-  for (const std::string& id : flow.links) links_.erase(id);
-  if (flow.path && flow.path->flow == &flow) flow.path->flow = nullptr;
-  auto it = flows_.find(flow.key);
-  flow.path.reset();
-  loop_.bury(it->second);
-  flows_.erase(it);
-}
+// ---- Lists and time --------------------------------------------------------------------------------
 
 void Front::refresh_workers() {
-  if (workers_version_ == dispatcher_.list_version()) return;
+  if (!stale_workers_ && workers_version_ == dispatcher_.list_version()) return;
+  stale_workers_ = false;
   workers_version_ = dispatcher_.list_version();
-  workers_.clear();
-  for (const auto& [name, worker] : dispatcher_.workers()) {
-    if (worker.health == lemonspread::Health::deleted) continue;  // one that drains is still reached
-    for (const IdConfig& config : codec_.configs()) {
-      auto own = settings_.workers.find(name);
-      bool given = own != settings_.workers.end() && own->second.server_id.size() == config.server_id_length;
-      std::string id = given ? own->second.server_id : default_server_id(name, config.server_id_length);
-      auto [it, fresh] = workers_.try_emplace({config.rotation, id}, name);
-      if (!fresh && it->second != name) {
-        log::error("quic: {} and {} have the same server id: neither is routed to", it->second, name);
-        it->second.clear();
-      }
+  // A worker that is somewhere else now is spoken to there: its sockets to the old address go.
+  for (WorkerTable::Worker* worker :
+       workers_.refresh(dispatcher_.workers(), settings_, ids_.codec().configs())) {
+    if (auto shared = shared_.find(worker); shared != shared_.end()) {
+      std::erase(dirty_, shared->second.get());
+      shared->second->close();
+      loop_.bury(std::shared_ptr<Upstream>(std::move(shared->second)));  // what it received may have led here
+      shared_.erase(shared);
+    }
+    std::vector<Path*> there;
+    for (auto& [raw, path] : all_paths_)
+      if (&path->worker == worker && path->own) there.push_back(raw);
+    for (Path* path : there) {
+      std::erase(dirty_, path->own.get());
+      path->own->close();  // opened anew with the next datagram
     }
   }
 }
 
-const std::string* Front::worker_of(const IdCodec::Decoded& id) {
-  refresh_workers();
-  auto it = workers_.find({id.rotation, id.server_id});
-  return it == workers_.end() || it->second.empty() ? nullptr : &it->second;
-}
-
-std::string Front::address_of(const std::string& worker) const {
-  auto own = settings_.workers.find(worker);
-  if (own != settings_.workers.end() && !own->second.address.empty()) return own->second.address;
-  auto it = dispatcher_.workers().find(worker);
-  return it == dispatcher_.workers().end() ? "" : it->second.address;
-}
-
 void Front::sweep() {
   Time now = loop_.now();
+  if (ids_.expire(now)) stale_workers_ = true;
   std::vector<std::shared_ptr<Flow>> over;
   for (auto& [key, flow] : flows_) {
     if (flow->moves_left > 0) flow->ask_to_move();
@@ -502,12 +370,17 @@
       exchange->client_left(Ending::finished);
     remove(*flow);
   }
-  std::vector<std::shared_ptr<Path>> idle;
-  for (auto& [raw, path] : all_paths_)
-    if (!path->flow && now - path->used > settings_.idle) idle.push_back(path);
-  for (auto& path : idle) drop_path(path);
+  while (oldest_ && now - oldest_->used > settings_.idle) drop_path(*oldest_);
+  std::erase_if(early_, [now](const auto& entry) { return now - entry.second.since > kEarlyKept; });
   calls_gauge_.set(static_cast<double>(flows_.size()));
   paths_gauge_.set(static_cast<double>(all_paths_.size()));
+  asking_gauge_.set(validation_.asking());
+  retiring_gauge_.set(static_cast<double>(ids_.retiring()));
+  auto closed = std::count_if(workers_.all().begin(), workers_.all().end(),
+                              [](const auto& worker) { return worker->closed && !worker->gone; });
+  closed_gauge_.set(static_cast<double>(closed));
+  sockets_gauge_.set(
+      static_cast<double>(settings_.forwarding == Forwarding::socket ? all_paths_.size() : shared_.size()));
   sweep_.start(kSweep);
 }
 
--- /dev/null
+++ b/src/quic/octets.h
@@ -0,0 +1,66 @@
+// Short strings of octets that live in place, for what the established path handles without allocating:
+// connection ids (at most 20 octets, RFC 9000, 17.2) and server ids (at most 15,
+// draft-ietf-quic-load-balancers, section 3).
+#pragma once
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace marblehub::quic {
+
+template <std::size_t N>
+class Octets {
+ public:
+  Octets() = default;
+  // Throws std::length_error over N octets: callers have checked lengths that come from outside.
+  Octets(std::string_view from) : size_(static_cast<std::uint8_t>(from.size())) {
+    if (from.size() > N) throw std::length_error("octets");
+    if (!from.empty()) std::memcpy(octets_.data(), from.data(), from.size());
+  }
+  Octets(const std::string& from) : Octets(std::string_view(from)) {}
+  Octets(const char* from) : Octets(std::string_view(from)) {}
+
+  operator std::string_view() const { return {octets_.data(), size_}; }
+  std::string_view view() const { return {octets_.data(), size_}; }
+  std::size_t size() const { return size_; }
+  bool empty() const { return size_ == 0; }
+
+  friend bool operator==(const Octets& a, const Octets& b) { return a.view() == b.view(); }
+  friend bool operator==(const Octets& a, std::string_view b) { return a.view() == b; }
+  friend bool operator==(const Octets& a, const char* b) { return a.view() == b; }
+  friend bool operator==(const Octets& a, const std::string& b) { return a.view() == b; }
+  friend bool operator<(const Octets& a, const Octets& b) { return a.view() < b.view(); }
+
+ private:
+  std::array<char, N> octets_{};
+  std::uint8_t size_ = 0;
+};
+
+using ConnectionId = Octets<20>;
+using ServerId = Octets<15>;
+
+// Ids and addresses come from strangers, who could otherwise choose them so that they all fall into one
+// bucket: the hash has a secret that is new with each start.
+std::uint64_t hash_secret();
+
+inline std::size_t hash_octets(std::string_view bytes) {
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), hash_secret());
+}
+
+struct OctetsHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view bytes) const { return hash_octets(bytes); }
+};
+struct OctetsEqual {
+  using is_transparent = void;
+  bool operator()(std::string_view a, std::string_view b) const { return a == b; }
+};
+
+}  // namespace marblehub::quic
--- a/src/quic/packet.cpp
+++ b/src/quic/packet.cpp
@@ -7,10 +7,6 @@
 
 std::uint8_t octet(char c) { return static_cast<std::uint8_t>(c); }
 
-void put_u32(std::string& out, std::uint32_t value) {
-  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(value >> shift);
-}
-
 std::optional<std::string_view> take(std::string_view& bytes, std::uint64_t size) {
   if (bytes.size() < size) return std::nullopt;
   std::string_view part = bytes.substr(0, size);
@@ -43,13 +39,35 @@
   out[at] = static_cast<char>(octet(out[at]) | width << 6);
 }
 
+namespace {
+
+// RFC 9000, 17.2, table 5, and RFC 9369, 3.2: version 2 turns the four types by one.
+constexpr Kind kKinds[] = {Kind::initial, Kind::zero_rtt, Kind::handshake, Kind::retry};
+
+unsigned type_of(Kind kind, std::uint32_t version) {
+  auto type = static_cast<unsigned>(kind);  // initial, 0-RTT, handshake, retry: 0 to 3
+  return version == kVersion2 ? (type + 1) & 3 : type;
+}
+
+}  // namespace
+
+void put_u32(std::string& out, std::uint32_t value) {
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(value >> shift);
+}
+
+char long_first_octet(Kind kind, std::uint32_t version, unsigned low) {
+  return static_cast<char>(0xc0 | type_of(kind, version) << 4 | (low & 0x0f));
+}
+
 std::optional<Header> parse(std::string_view datagram) {
   if (datagram.empty()) return std::nullopt;
   std::uint8_t first = octet(datagram[0]);
   Header header;
+  header.packet = datagram;
+  header.fixed = (first & 0x40) != 0;
   std::string_view rest = datagram.substr(1);
   if (!(first & 0x80)) {
-    if (!(first & 0x40) || rest.empty()) return std::nullopt;
+    if (rest.empty()) return std::nullopt;
     header.destination = rest;
     return header;
   }
@@ -65,25 +83,44 @@
     header.kind = Kind::negotiation;
     return header;
   }
-  if (header.version != kVersion1) {
+  if (header.version != kVersion1 && header.version != kVersion2) {
     header.kind = Kind::other_version;
     return header;
   }
-  if (!(first & 0x40) || destination->size() > kLongestId || source->size() > kLongestId) return std::nullopt;
-  static constexpr Kind kinds[] = {Kind::initial, Kind::zero_rtt, Kind::handshake, Kind::retry};
-  header.kind = kinds[first >> 4 & 3];
+  if (destination->size() > kLongestId || source->size() > kLongestId) return std::nullopt;
+  unsigned type = first >> 4 & 3;
+  header.kind = kKinds[header.version == kVersion2 ? (type + 3) & 3 : type];
   if (header.kind == Kind::retry) return header;
   if (header.kind == Kind::initial) {
-    auto token = take_varint(rest);
-    if (!token || !take(rest, *token)) return std::nullopt;
+    auto size = take_varint(rest);
+    auto token = size ? take(rest, *size) : std::nullopt;
+    if (!token) return std::nullopt;
+    header.token = *token;
   }
   // The length covers the packet number and the payload; 20 octets are the least that header protection
   // needs.
   auto length = take_varint(rest);
   if (!length || *length < 20 || *length > rest.size()) return std::nullopt;
+  header.packet = datagram.substr(0, datagram.size() - rest.size() + static_cast<std::size_t>(*length));
   return header;
 }
 
+std::size_t sound_length(std::string_view datagram, const Header& first) {
+  if (first.kind == Kind::short_header || first.kind == Kind::retry) return datagram.size();
+  std::size_t sound = first.packet.size();
+  while (sound < datagram.size()) {
+    std::string_view rest = datagram.substr(sound);
+    auto next = parse(rest);
+    if (!next || (next->kind == Kind::short_header && !next->fixed))
+      return datagram.size();  // padding outside of packets, which receivers pass over
+    if (next->kind == Kind::short_header)
+      return next->destination.starts_with(first.destination) ? datagram.size() : sound;
+    if (next->version != first.version || next->destination != first.destination) return sound;
+    sound += next->packet.size();
+  }
+  return sound;
+}
+
 std::string version_negotiation(const Header& header, const std::vector<std::uint32_t>& versions) {
   std::string out(1, static_cast<char>(0xc0));
   put_u32(out, 0);
@@ -92,6 +129,11 @@
   out += static_cast<char>(header.destination.size());
   out += header.destination;
   for (std::uint32_t version : versions) put_u32(out, version);
+  // Drawn from the client's id, so that not every answer has the same one.
+  std::uint32_t salt = header.destination.empty() ? 0 : octet(header.destination.back());
+  std::uint32_t reserved = 0x0a0a0a0au | (salt & 0xf0u) << 24 | (salt & 0x0fu) << 20;
+  if (reserved == header.version) reserved ^= 0xf000u;
+  put_u32(out, reserved);
   return out;
 }
 
--- /dev/null
+++ b/src/quic/validation.cpp
@@ -0,0 +1,156 @@
+#include "quic/validation.h"
+
+#include <utility>
+
+#include "quic/connection_id.h"
+#include "quic/crypto.h"
+
+namespace marblehub::quic {
+namespace {
+
+constexpr std::string_view kMagic = "mhr1";
+constexpr std::size_t kNonce = 12, kTag = 16, kRetryId = 12;
+
+void put_time(std::string& out, std::int64_t time) {
+  for (int shift = 56; shift >= 0; shift -= 8) out += static_cast<char>(time >> shift);
+}
+
+void put_id(std::string& out, std::string_view id) {
+  out += static_cast<char>(id.size());
+  out += id;
+}
+
+std::optional<ConnectionId> take_id(std::string_view& bytes) {
+  if (bytes.empty()) return std::nullopt;
+  auto size = static_cast<unsigned char>(bytes[0]);
+  if (size > kLongestId || bytes.size() < 1u + size) return std::nullopt;
+  ConnectionId id(bytes.substr(1, size));
+  bytes.remove_prefix(1 + size);
+  return id;
+}
+
+// RFC 9001, 5.8 and RFC 9369, 3.3.3: the key and nonce are public; the tag shows only that whoever made the
+// Retry has seen the Initial.
+std::string retry_tag(std::uint32_t version, std::string_view packet, std::string_view original) {
+  static const std::string key1 = *unhex("be0c690b9f66575a1d766b54e368c84e"),
+                           nonce1 = *unhex("461599d35d632bf2239825bb"),
+                           key2 = *unhex("8fb4b01b56ac48e260fbcbcead7ccc92"),
+                           nonce2 = *unhex("d86969bc2d7c6d9990efb04a");
+  std::string pseudo;
+  put_id(pseudo, original);
+  pseudo += packet;
+  bool second = version == kVersion2;
+  return gcm_seal(second ? key2 : key1, second ? nonce2 : nonce1, "", pseudo);
+}
+
+}  // namespace
+
+TokenSealer::TokenSealer(std::string secret, std::int64_t key_life)
+    : secret_(secret.empty() ? random_octets(32) : std::move(secret)), key_life_(key_life) {}
+
+const std::string& TokenSealer::key(std::int64_t epoch) {
+  auto slot = static_cast<std::size_t>(epoch & 1);
+  if (epochs_[slot] != epoch) {
+    keys_[slot] = hkdf_expand_label(hkdf_extract("marblehub retry token", secret_),
+                                    "epoch " + std::to_string(epoch), 16);
+    epochs_[slot] = epoch;
+  }
+  return keys_[slot];
+}
+
+std::string TokenSealer::seal(const RetryToken& token, const Endpoint& client, std::int64_t now) {
+  std::int64_t epoch = now / key_life_;
+  std::string plain;
+  put_time(plain, token.made);
+  put_id(plain, token.original);
+  put_id(plain, token.retry);
+  std::string nonce = random_octets(kNonce);
+  return std::string(kMagic) + static_cast<char>(epoch) + nonce +
+         gcm_seal(key(epoch), nonce, plain, client.octets());
+}
+
+bool TokenSealer::ours(std::string_view token) {
+  return token.starts_with(kMagic) && token.size() >= kMagic.size() + 1 + kNonce + kTag;
+}
+
+std::optional<RetryToken> TokenSealer::open(std::string_view token, const Endpoint& client,
+                                            std::int64_t now) {
+  if (!ours(token)) return std::nullopt;
+  // The key is this epoch's or the last one's; an octet tells which.
+  std::int64_t epoch = now / key_life_;
+  if (static_cast<char>(epoch) != token[kMagic.size()]) epoch -= 1;
+  if (epoch < 0 || static_cast<char>(epoch) != token[kMagic.size()]) return std::nullopt;
+  std::string_view rest = token.substr(kMagic.size() + 1);
+  auto plain = gcm_open(key(epoch), rest.substr(0, kNonce), rest.substr(kNonce), client.octets());
+  if (!plain || plain->size() < 8) return std::nullopt;
+  RetryToken opened;
+  std::string_view left = *plain;
+  for (int i = 0; i < 8; ++i) opened.made = opened.made << 8 | static_cast<unsigned char>(left[i]);
+  left.remove_prefix(8);
+  auto original = take_id(left), retry = original ? take_id(left) : std::nullopt;
+  if (!retry || !left.empty()) return std::nullopt;
+  opened.original = *original;
+  opened.retry = *retry;
+  return opened;
+}
+
+std::string retry_packet(std::uint32_t version, std::string_view destination, std::string_view source,
+                         std::string_view token, std::string_view original) {
+  std::string packet(1, long_first_octet(Kind::retry, version, 0));
+  put_u32(packet, version);
+  put_id(packet, destination);
+  put_id(packet, source);
+  packet += token;
+  return packet + retry_tag(version, packet, original);
+}
+
+bool retry_is_authentic(std::string_view packet, std::string_view original) {
+  auto header = parse(packet);
+  if (!header || header->kind != Kind::retry || packet.size() < kTag) return false;
+  std::string_view body = packet.substr(0, packet.size() - kTag);
+  return equal_in_constant_time(retry_tag(header->version, body, original), packet.substr(body.size()));
+}
+
+AddressValidation::AddressValidation(ValidationSettings settings)
+    : settings_(std::move(settings)),
+      sealer_(settings_.secret, settings_.key_life),
+      asking_(settings_.mode == RetryMode::always) {}
+
+AddressValidation::Judged AddressValidation::judge(const Header& initial, const Endpoint& from,
+                                                   std::int64_t now) {
+  if (TokenSealer::ours(initial.token)) {
+    // The client will take no second Retry (RFC 9000, 17.2.5.2): what is wrong with a token is final.
+    auto token = sealer_.open(initial.token, from, now);
+    bool good = token && token->retry == initial.destination && token->made <= now &&
+                now - token->made <= settings_.token_life && first_use(initial.token, now);
+    if (!good) return {Verdict::refuse, std::nullopt};
+    return {Verdict::take, token};
+  }
+  // Any other token, say a worker's NEW_TOKEN, proves nothing here and counts as none (RFC 9000, 8.1.3).
+  unvalidated_.add(now);
+  if (settings_.mode == RetryMode::from_rate) {
+    double rate = unvalidated_.rate(now);
+    // Half the rate ends it: at the very rate it would switch with every Initial.
+    asking_ = asking_ ? rate > settings_.from_rate / 2 : rate > settings_.from_rate;
+  }
+  return {asking_ ? Verdict::ask : Verdict::take, std::nullopt};
+}
+
+bool AddressValidation::first_use(std::string_view token, std::int64_t now) {
+  if (now - used_since_ > settings_.token_life || used_.size() >= settings_.tokens_remembered) {
+    // A set that is full before its time forgets the older half early; until then no token counts twice.
+    used_before_ = std::exchange(used_, {});
+    used_since_ = now;
+  }
+  std::string nonce(token.substr(kMagic.size() + 1, kNonce));
+  return !used_before_.contains(nonce) && used_.insert(std::move(nonce)).second;
+}
+
+std::string AddressValidation::retry(const Header& initial, const Endpoint& from, std::int64_t now) {
+  std::string source = random_octets(kRetryId);
+  source[0] = static_cast<char>(source[0] | kUnroutable << 5);
+  std::string token = sealer_.seal({initial.destination, source, now}, from, now);
+  return retry_packet(initial.version, initial.source, source, token, initial.destination);
+}
+
+}  // namespace marblehub::quic
--- /dev/null
+++ b/src/quic/worker_table.cpp
@@ -0,0 +1,115 @@
+#include "quic/worker_table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "log/log.h"
+
+namespace marblehub::quic {
+namespace {
+
+constexpr Time kTryAgain = 200'000;  // to a closed port, one datagram so often
+
+}  // namespace
+
+std::string IdConfigs::conflict(const std::vector<IdConfig>& next) const {
+  for (const IdConfig& config : next)
+    for (const Retiring& old : retiring_)
+      if (old.config.rotation == config.rotation && !(old.config == config))
+        return fmt::format("ids: rotation {} is still being retired with other contents", config.rotation);
+  for (const IdConfig& config : next)
+    for (const IdConfig& old : now_)
+      if (old.rotation == config.rotation && !(old == config))
+        return fmt::format(
+            "ids: rotation {} is in force with other contents; give the new ones another rotation",
+            config.rotation);
+  return "";
+}
+
+void IdConfigs::replace(std::vector<IdConfig> next, Time now, Time retire) {
+  auto has = [](const std::vector<IdConfig>& in, const IdConfig& config) {
+    return std::find(in.begin(), in.end(), config) != in.end();
+  };
+  for (const IdConfig& old : now_)
+    if (!has(next, old)) retiring_.push_back({old, now + retire});
+  std::erase_if(retiring_, [&](const Retiring& r) { return has(next, r.config); });  // it has come back
+  now_ = std::move(next);
+  rebuild();
+}
+
+bool IdConfigs::expire(Time now) {
+  bool any = std::erase_if(retiring_, [&](const Retiring& r) { return r.until <= now; }) > 0;
+  if (any) rebuild();
+  return any;
+}
+
+void IdConfigs::rebuild() {
+  std::vector<IdConfig> all = now_;
+  for (const Retiring& r : retiring_) all.push_back(r.config);
+  codec_ = IdCodec(std::move(all));
+}
+
+std::vector<WorkerTable::Worker*> WorkerTable::refresh(
+    const std::unordered_map<std::string, core::Dispatcher::Worker>& list, const QuicSettings& settings,
+    const std::vector<IdConfig>& configs) {
+  std::vector<Worker*> moved;
+  for (const auto& [name, listed] : list) {
+    Worker*& worker = by_name_[name];
+    if (!worker) {
+      all_.push_back(std::make_unique<Worker>());
+      worker = all_.back().get();
+      worker->name = name;
+      worker->index = all_.size() - 1;
+    }
+    auto own = settings.workers.find(name);
+    bool given = own != settings.workers.end() && !own->second.address.empty();
+    Endpoint address = Endpoint::parse(given ? own->second.address : listed.address).value_or(Endpoint());
+    if (!(address == worker->address)) {
+      if (worker->address.known()) moved.push_back(worker);
+      worker->address = address;
+      worker->closed = false;
+    }
+    worker->gone = listed.health == lemonspread::Health::deleted;
+  }
+  by_id_.clear();
+  // Those that are there first: a gone one must not take the id of its replacement.
+  for (bool gone : {false, true})
+    for (auto& worker : all_) {
+      if (worker->gone != gone) continue;
+      for (const IdConfig& config : configs) {
+        Key key{config.rotation, ServerId(server_id_of(settings, worker->name, config))};
+        auto [it, fresh] = by_id_.try_emplace(key, worker.get());
+        if (fresh || gone) continue;
+        if (it->second)
+          log::error("quic: {} and {} have the same server id: neither is routed to", it->second->name,
+                     worker->name);
+        it->second = nullptr;
+      }
+    }
+  return moved;
+}
+
+WorkerTable::Worker* WorkerTable::named(const std::string& name) {
+  auto it = by_name_.find(name);
+  return it == by_name_.end() ? nullptr : it->second;
+}
+
+WorkerTable::Worker* WorkerTable::of(const IdCodec::Decoded& id) {
+  auto it = by_id_.find(Key{id.rotation, id.server_id});
+  return it == by_id_.end() ? nullptr : it->second;
+}
+
+void WorkerTable::closed(Worker& worker, Time now) {
+  worker.closed = true;
+  worker.tried_at = now;
+}
+
+bool WorkerTable::may_send(Worker& worker, Time now) {
+  if (!worker.closed) return true;
+  if (now - worker.tried_at < kTryAgain) return false;
+  worker.tried_at = now;
+  return true;
+}
+
+}  // namespace marblehub::quic
--- a/tests/quic_test.cpp
+++ b/tests/quic_test.cpp
@@ -269,7 +269,7 @@
                           true)
                   .has_value());
   CHECK(config_error({7, 4, 6, ""}).starts_with("rotation"));
-  CHECK(config_error({0, 4, 6, std::string(16, 'k')}).starts_with("key"));
+  CHECK(config_error({0, 4, 6, std::string(15, 'k')}).starts_with("key"));
   CHECK(config_error({0, 10, 12, ""}).starts_with("nonce_length"));
 }
 
@@ -423,10 +423,12 @@
   CHECK(header->kind == Kind::negotiation);
   CHECK(header->destination == c.source);
   CHECK(header->source == c.first);
-  CHECK(answer->substr(answer->size() - 4) == std::string("\0\0\0\1", 4));
+  std::string offers = answer->substr(answer->size() - 12);
+  CHECK(offers.substr(0, 8) == std::string("\0\0\0\1\x6b\x33\x43\xcf", 8));
+  for (char c : offers.substr(8)) CHECK((c & 0x0f) == 0x0a);  // one that is reserved
   CHECK_FALSE(udp.receive().has_value());
   CHECK(scene.counter("marblehub_quic_malformed_total") >= 40);
-  CHECK(scene.counter("marblehub_quic_unknown_ids_total") == 2);
+  CHECK(scene.counter("marblehub_quic_unknown_ids_total") == 3);
   CHECK(scene.counter("marblehub_quic_unknown_versions_total") == 2);
   CHECK(scene.counter("marblehub_calls_total") == 0);
   c.open();  // and it still serves
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -12,6 +13,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -90,6 +92,12 @@
                                             {"stream", true}}})}};
 }
 
+// The balancer that is started: the one built beside the tests, unless a tool names another.
+inline std::string& program_path() {
+  static std::string path = MARBLEHUB_PROGRAM;
+  return path;
+}
+
 class Program {
  public:
   Program(json known, json settings, int registry_port, const std::string& quic_file = "/nonexistent",
@@ -114,8 +122,9 @@
       rlimit limit{files, files};
       setrlimit(RLIMIT_NOFILE, &limit);
       close_range(3, ~0U, 0);  // so that it begins with the same descriptors wherever the test runs
-      if (!freopen((folder_ + "/log").c_str(), "w", stderr)) _exit(126);
-      execl(MARBLEHUB_PROGRAM, "marblehub", nullptr);
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive a test that crashes
+      if (!freopen((folder_ + "/log").c_str(), "w", stderr) || !freopen("/dev/null", "w", stdout)) _exit(126);
+      execl(program_path().c_str(), "marblehub", nullptr);
       _exit(127);
     }
     for (int i = 0; i < 400 && log().find("listens on") == std::string::npos; ++i) usleep(10000);
@@ -150,6 +159,18 @@
     text << file.rdbuf();
     return text.str();
   }
+  std::size_t descriptors() const {
+    std::error_code error;
+    std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  }
+  // Of processor time, in microseconds.
+  long long cpu_us() const {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/schedstat");
+    long long ns = 0;
+    file >> ns;
+    return ns / 1000;
+  }
   long resident_kb() const {
     std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
     long all = 0, resident = 0;
--- a/tools/application.cpp
+++ b/tools/application.cpp
@@ -75,6 +75,16 @@
 
 namespace {
 
+// Whether the second front could tell the workers of the starting file apart.
+void check_server_ids(const Startup& startup, const std::string& text, const std::filesystem::path& path,
+                      Findings& findings) {
+  std::vector<std::string> names;
+  for (const WorkerEntry& worker : startup.known.workers) names.push_back(worker.backend.address);
+  auto settings = quic::quic_settings_from(flatten(text, ""), path.parent_path());
+  for (std::string& line : quic::server_id_conflicts(settings, names))
+    findings.errors.push_back(std::move(line));
+}
+
 void check_start(const Options& options, const std::string& folder, Findings& findings) {
   Startup startup = startup_from(options);
   for (const auto& [name, kind] :
@@ -85,7 +95,8 @@
       findings.warnings.push_back(fmt::format("{}: not found; what it would turn on stays off", name));
       continue;
     }
-    Findings inner = check(*text, kind, folder);
+    Findings inner = check(*text, kind, path.parent_path());
+    if (kind == FileKind::quic && inner.errors.empty()) check_server_ids(startup, *text, path, inner);
     for (auto& line : inner.errors) findings.errors.push_back(name + ": " + line);
     for (auto& line : inner.warnings) findings.warnings.push_back(name + ": " + line);
   }
@@ -98,10 +109,7 @@
   try {
     Options options = flatten(text, "");
     if (kind == FileKind::start) check_start(options, folder, findings);
-    if (kind == FileKind::quic) {
-      quic::QuicSettings settings = quic::quic_settings_from(options);
-      if (!net::parse_address(settings.listen)) findings.errors.push_back("listen: expected a.b.c.d:port");
-    }
+    if (kind == FileKind::quic) quic::quic_settings_from(options, folder);
     if (kind == FileKind::remote_write) metrics::remote_write_settings_from(options);
     for (const std::string& key : options.unread())
       findings.warnings.push_back(fmt::format("{}: not a key that is read here", key));
--- a/tools/application.h
+++ b/tools/application.h
@@ -21,7 +21,7 @@
   std::vector<std::string> errors, warnings;  // plain lines, each with the key it is about
 };
 enum class FileKind { start, quic, remote_write };
-// `folder` is where the files that a starting file names are looked for.
+// `folder` is where the files that a file names are looked for.
 Findings check(std::string_view text, FileKind kind, const std::string& folder);
 
 }  // namespace marblehub::config
--- a/tools/marblehub_config.cpp
+++ b/tools/marblehub_config.cpp
@@ -1,4 +1,5 @@
 // marblehub-config: writes a commented starting file for an application, and checks one.
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <string>
@@ -53,7 +54,9 @@
     std::cerr << "marblehub-config: cannot read " << path << '\n';
     return 1;
   }
-  Findings findings = check(*text, kind, ".");
+  // A starting file names its files as the program does that runs from the project's root.
+  std::string folder = kind == FileKind::quic ? std::filesystem::path(path).parent_path().string() : ".";
+  Findings findings = check(*text, kind, folder);
   for (const std::string& line : findings.warnings) std::cerr << path << ": warning: " << line << '\n';
   for (const std::string& line : findings.errors) std::cerr << path << ": " << line << '\n';
   if (findings.errors.empty()) std::cout << path << ": in order\n";
