--- a/conformance/peer.cpp
+++ b/conformance/peer.cpp
@@ -37,9 +37,14 @@
   return id;
 }
 
-ngtcp2_addr addr_of(const Endpoint& e) {
-  return {const_cast<sockaddr*>(e.raw()), static_cast<ngtcp2_socklen>(e.size())};
-}
+// An endpoint in the form that the library and the system take; it lives as long as the call it is made for.
+struct Name {
+  explicit Name(const Endpoint& e) : size(e.write(name)) {}
+  operator ngtcp2_addr() { return {raw(), static_cast<ngtcp2_socklen>(size)}; }
+  sockaddr* raw() { return reinterpret_cast<sockaddr*>(&name); }
+  sockaddr_in6 name;
+  socklen_t size;
+};
 
 void require(bool done, const char* what) {
   if (!done) throw std::runtime_error(what);
@@ -109,7 +114,8 @@
 Udp::Udp(int family, int port) : fd_(::socket(family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   std::string any = family == AF_INET6 ? std::string(15, '\0') + '\1' : std::string("\x7f\0\0\1", 4);
   Endpoint at = *Endpoint::from(any, static_cast<std::uint16_t>(port));
-  require(fd_ >= 0 && ::bind(fd_, at.raw(), at.size()) == 0, "no free port");
+  Name bound(at);
+  require(fd_ >= 0 && ::bind(fd_, bound.raw(), bound.size) == 0, "no free port");
   sockaddr_in6 name{};
   socklen_t size = sizeof name;
   ::getsockname(fd_, reinterpret_cast<sockaddr*>(&name), &size);
@@ -129,7 +135,8 @@
 }
 
 void Udp::send(std::string_view bytes, const Endpoint& to) const {
-  ::sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, to.raw(), to.size());
+  Name name(to);
+  ::sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, name.raw(), name.size);
 }
 
 std::optional<Udp::Came> Udp::receive() const {
@@ -275,7 +282,8 @@
 
 void Connection::read(const Endpoint& local, const Endpoint& remote, std::string_view bytes) {
   if (over_) return;
-  ngtcp2_path path{addr_of(local), addr_of(remote), nullptr};
+  Name here(local), there(remote);
+  ngtcp2_path path{here, there, nullptr};
   ngtcp2_pkt_info info{};
   int result = ngtcp2_conn_read_pkt(conn_, &path, &info, peers::raw(bytes), bytes.size(), now_ns());
   if (result == 0) return;
@@ -385,7 +393,8 @@
   std::string first = quic::random_octets(12);
   first[0] = static_cast<char>(first[0] | quic::kUnroutable << 5);
   ngtcp2_cid destination = cid_of(first), source = cid_of(quic::random_octets(options_.id_length));
-  ngtcp2_path path{addr_of(believed_), addr_of(router_), nullptr};
+  Name here(believed_), there(router_);
+  ngtcp2_path path{here, there, nullptr};
   ngtcp2_callbacks all = callbacks(false);
   require(ngtcp2_conn_client_new(&conn_, &destination, &source, &path, options_.version, &all, &settings,
                                  &params, nullptr, static_cast<Connection*>(this)) == 0,
@@ -461,7 +470,8 @@
 bool Client::migrate() {
   hop.rebind();
   believed_ = hop.address();
-  ngtcp2_path path{addr_of(believed_), addr_of(router_), nullptr};
+  Name here(believed_), there(router_);
+  ngtcp2_path path{here, there, nullptr};
   return ngtcp2_conn_initiate_immediate_migration(conn_, &path, now_ns()) == 0;
 }
 
@@ -512,7 +522,8 @@
       std::memcpy(params.stateless_reset_token, quic::reset_token(worker_.options.reset_key, ids[0]).data(),
                   NGTCP2_STATELESS_RESET_TOKENLEN);
     }
-    ngtcp2_path path{addr_of(worker_.address()), addr_of(client), nullptr};
+    Name here(worker_.address()), there(client);
+    ngtcp2_path path{here, there, nullptr};
     ngtcp2_callbacks all = callbacks(true);
     require(ngtcp2_conn_server_new(&conn_, &destination, &source, &path, hd.version, &all, &settings, &params,
                                    nullptr, static_cast<Connection*>(this)) == 0,
@@ -674,16 +685,16 @@
       ngtcp2_cid source = cid_of(make_id());
       std::uint8_t token[NGTCP2_CRYPTO_MAX_RETRY_TOKENLEN], packet[512];
       ngtcp2_ssize size = ngtcp2_crypto_generate_retry_token(
-          token, raw(secret), secret.size(), hd.version, client.raw(),
-          static_cast<ngtcp2_socklen>(client.size()), &source, &hd.dcid, now_ns());
+          token, raw(secret), secret.size(), hd.version, Name(client).raw(),
+          static_cast<ngtcp2_socklen>(Name(client).size), &source, &hd.dcid, now_ns());
       ngtcp2_ssize n = ngtcp2_crypto_write_retry(packet, sizeof packet, hd.version, &hd.scid, &source,
                                                  &hd.dcid, token, static_cast<std::size_t>(size));
       if (n > 0) send({reinterpret_cast<char*>(packet), static_cast<std::size_t>(n)}, client);
       return nullptr;
     }
-    if (ngtcp2_crypto_verify_retry_token(&odcid, hd.token.base, hd.token.len, raw(secret), secret.size(),
-                                         hd.version, client.raw(), static_cast<ngtcp2_socklen>(client.size()),
-                                         &hd.dcid, 10 * NGTCP2_SECONDS, now_ns()) != 0)
+    if (ngtcp2_crypto_verify_retry_token(
+            &odcid, hd.token.base, hd.token.len, raw(secret), secret.size(), hd.version, Name(client).raw(),
+            static_cast<ngtcp2_socklen>(Name(client).size), &hd.dcid, 10 * NGTCP2_SECONDS, now_ns()) != 0)
       return nullptr;
     original = text_of(odcid);
     retry = first;
--- a/src/quic/datagrams.cpp
+++ b/src/quic/datagrams.cpp
@@ -69,20 +69,24 @@
 
 net::Fd listening_socket(const Endpoint& at) {
   net::Fd fd = open_socket(at.family());
-  if (fd && ::bind(fd.get(), at.raw(), at.size()) != 0) fd.reset();
+  sockaddr_in6 name;
+  socklen_t size = at.write(name);
+  if (fd && ::bind(fd.get(), reinterpret_cast<sockaddr*>(&name), size) != 0) fd.reset();
   if (fd) set(fd.get(), SOL_SOCKET, SO_RCVBUF, 4 << 20);
   return fd;
 }
 
 net::Fd connected_socket(const Endpoint& to) {
   net::Fd fd = open_socket(to.family());
-  if (fd && ::connect(fd.get(), to.raw(), to.size()) != 0) fd.reset();
+  sockaddr_in6 name;
+  socklen_t size = to.write(name);
+  if (fd && ::connect(fd.get(), reinterpret_cast<sockaddr*>(&name), size) != 0) fd.reset();
   return fd;
 }
 
-Receiver::Receiver() : buffers_(kBatch * kBuffer) {
+Receiver::Receiver() : buffers_(std::make_unique_for_overwrite<char[]>(kBatch * kBuffer)) {
   for (std::size_t i = 0; i < kBatch; ++i) {
-    parts_[i] = {buffers_.data() + i * kBuffer, kBuffer};
+    parts_[i] = {buffers_.get() + i * kBuffer, kBuffer};
     messages_[i].msg_hdr.msg_iov = &parts_[i];
     messages_[i].msg_hdr.msg_iovlen = 1;
   }
@@ -131,6 +135,7 @@
   static std::array<mmsghdr, kMessages> messages;
   static std::array<std::array<iovec, 2 * kSegments>, kMessages> parts;
   static std::array<Control, kMessages> control;
+  static std::array<sockaddr_in6, kMessages> names;
   static std::array<std::size_t, kMessages> held;  // datagrams in each message
   Sent sent;
   std::size_t next = 0;
@@ -157,8 +162,8 @@
       }
       held[filled] = segments;
       if (lead.to.known()) {
-        m.msg_name = const_cast<sockaddr*>(lead.to.raw());
-        m.msg_namelen = lead.to.size();
+        m.msg_name = &names[filled];
+        m.msg_namelen = lead.to.write(names[filled]);
       }
       m.msg_control = control[filled].octets.data();
       auto* at = reinterpret_cast<cmsghdr*>(m.msg_control);
@@ -207,9 +212,10 @@
   msghdr m{};
   m.msg_iov = header.empty() ? parts + 1 : parts;
   m.msg_iovlen = header.empty() ? 1 : 2;
+  sockaddr_in6 name;
   if (to) {
-    m.msg_name = const_cast<sockaddr*>(to->raw());
-    m.msg_namelen = to->size();
+    m.msg_name = &name;
+    m.msg_namelen = to->write(name);
   }
   ::sendmsg(fd, &m, MSG_NOSIGNAL);
 }
--- a/src/quic/datagrams.h
+++ b/src/quic/datagrams.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <functional>
+#include <memory>
 #include <vector>
 
 #include "net/loop.h"
@@ -35,7 +36,7 @@
 
  private:
   static constexpr std::size_t kBatch = 32, kBuffer = 65536, kControl = 64;
-  std::vector<char> buffers_;
+  std::unique_ptr<char[]> buffers_;  // never written as a whole: pages that no datagram reaches cost nothing
   std::array<mmsghdr, kBatch> messages_{};
   std::array<iovec, kBatch> parts_{};
   std::array<sockaddr_in6, kBatch> names_{};
--- a/src/quic/endpoint.cpp
+++ b/src/quic/endpoint.cpp
@@ -8,38 +8,43 @@
 
 namespace marblehub::quic {
 
-void Endpoint::note() {
-  std::string_view where = address();
-  std::uint16_t port_octets = htons(port());
-  std::memcpy(octets_, where.data(), where.size());
-  std::memcpy(octets_ + where.size(), &port_octets, 2);
-  size_ = static_cast<unsigned char>(where.size() + 2);
+Endpoint Endpoint::from(const sockaddr* address) {
+  if (address->sa_family == AF_INET) {
+    sockaddr_in a;
+    std::memcpy(&a, address, sizeof a);
+    return *from(std::string_view(reinterpret_cast<char*>(&a.sin_addr), 4), ntohs(a.sin_port));
+  }
+  if (address->sa_family != AF_INET6) return {};
+  sockaddr_in6 a;
+  std::memcpy(&a, address, sizeof a);
+  return *from(std::string_view(reinterpret_cast<char*>(&a.sin6_addr), 16), ntohs(a.sin6_port));
 }
 
-Endpoint Endpoint::from(const sockaddr* address) {
+std::optional<Endpoint> Endpoint::from(std::string_view address, std::uint16_t port) {
+  if (address.size() != 4 && address.size() != 16) return std::nullopt;
   Endpoint e;
-  if (address->sa_family != AF_INET && address->sa_family != AF_INET6) return e;
-  std::memcpy(&e.storage_, address,
-              address->sa_family == AF_INET ? sizeof(sockaddr_in) : sizeof(sockaddr_in6));
-  if (address->sa_family == AF_INET6) e.storage_.sin6_flowinfo = 0;
-  e.note();
+  std::uint16_t network = htons(port);
+  std::memcpy(e.octets_, address.data(), address.size());
+  std::memcpy(e.octets_ + address.size(), &network, 2);
+  e.size_ = static_cast<unsigned char>(address.size() + 2);
   return e;
 }
 
-std::optional<Endpoint> Endpoint::from(std::string_view address, std::uint16_t port) {
-  if (address.size() == 4) {
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_port = htons(port);
-    std::memcpy(&a.sin_addr, address.data(), 4);
-    return from(reinterpret_cast<const sockaddr*>(&a));
+socklen_t Endpoint::write(sockaddr_in6& out) const {
+  out = {};
+  std::string_view where = address();
+  if (where.size() == 16) {
+    out.sin6_family = AF_INET6;
+    out.sin6_port = htons(port());
+    std::memcpy(&out.sin6_addr, where.data(), 16);
+    return sizeof out;
   }
-  if (address.size() != 16) return std::nullopt;
-  sockaddr_in6 a{};
-  a.sin6_family = AF_INET6;
-  a.sin6_port = htons(port);
-  std::memcpy(&a.sin6_addr, address.data(), 16);
-  return from(reinterpret_cast<const sockaddr*>(&a));
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(port());
+  std::memcpy(&a.sin_addr, where.data(), where.size());
+  std::memcpy(&out, &a, sizeof a);
+  return sizeof a;
 }
 
 std::optional<Endpoint> Endpoint::parse(std::string_view text) {
@@ -57,15 +62,12 @@
   return from(std::string_view(octets, 4), *port);
 }
 
-std::string_view Endpoint::address() const {
-  if (family() == AF_INET6) return {reinterpret_cast<const char*>(&storage_.sin6_addr), 16};
-  if (family() == AF_INET)
-    return {reinterpret_cast<const char*>(&reinterpret_cast<const sockaddr_in*>(&storage_)->sin_addr), 4};
-  return {};
+std::uint16_t Endpoint::port() const {
+  if (size_ < 2) return 0;
+  return static_cast<std::uint16_t>(static_cast<unsigned char>(octets_[size_ - 2]) << 8 |
+                                    static_cast<unsigned char>(octets_[size_ - 1]));
 }
 
-std::uint16_t Endpoint::port() const { return ntohs(storage_.sin6_port); }  // at the same place in both
-
 std::string Endpoint::text() const {
   char out[INET6_ADDRSTRLEN] = "";
   inet_ntop(family(), address().data(), out, sizeof out);
--- a/src/quic/endpoint.h
+++ b/src/quic/endpoint.h
@@ -12,18 +12,18 @@
 
 class Endpoint {
  public:
-  Endpoint() { storage_.sin6_family = AF_UNSPEC; }
+  Endpoint() = default;
   static Endpoint from(const sockaddr* address);  // another family: unspecified
   // Network byte order; 4 octets or 16. Nothing for other lengths.
   static std::optional<Endpoint> from(std::string_view address, std::uint16_t port);
   // "a.b.c.d:port" or "[ipv6]:port". Names are not looked up.
   static std::optional<Endpoint> parse(std::string_view text);
 
-  bool known() const { return family() != AF_UNSPEC; }
-  int family() const { return storage_.sin6_family; }
-  const sockaddr* raw() const { return reinterpret_cast<const sockaddr*>(&storage_); }
-  socklen_t size() const { return family() == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in); }
-  std::string_view address() const;  // 4 or 16 octets
+  bool known() const { return size_ > 0; }
+  int family() const { return size_ == 0 ? AF_UNSPEC : size_ == 6 ? AF_INET : AF_INET6; }
+  // As the system wants it; returns its length. IPv4 takes the front of what is there.
+  socklen_t write(sockaddr_in6& out) const;
+  std::string_view address() const { return {octets_, size_ > 0 ? size_ - 2u : 0u}; }  // 4 or 16 octets
   std::uint16_t port() const;
   std::string text() const;
   // Address and port as octets, equal for equal endpoints.
@@ -32,10 +32,7 @@
   friend bool operator==(const Endpoint& a, const Endpoint& b) { return a.octets() == b.octets(); }
 
  private:
-  void note();
-
-  sockaddr_in6 storage_{};
-  char octets_[18]{};
+  char octets_[18]{};  // in network byte order; small, as every connection has one or two
   unsigned char size_ = 0;
 };
 
--- a/src/quic/flow.cpp
+++ b/src/quic/flow.cpp
@@ -49,7 +49,6 @@
     : front(f),
       first_destination(header.kind == Kind::short_header ? std::string_view() : header.destination),
       client_source(header.source),
-      keys_from(first_destination),
       version(header.version),
       client(from) {}
 
@@ -64,20 +63,22 @@
 // before a worker has replied, and nobody can make that up.
 bool Flow::silence_tells() const {
   if (validated || front.settings_.retry.mode == RetryMode::never) return true;
-  return flight && std::any_of(flight->begin(), flight->end(), [](const std::string& datagram) {
-           for (std::string_view rest = datagram; !rest.empty();) {
-             auto header = parse(rest);
-             if (!header || header->kind == Kind::short_header) return false;
-             if (header->kind == Kind::zero_rtt) return true;
-             rest.remove_prefix(header->packet.size());
-           }
-           return false;
-         });
+  if (!beginning) return true;
+  const auto& flight = beginning->flight;
+  return std::any_of(flight.begin(), flight.end(), [](const std::string& datagram) {
+    for (std::string_view rest = datagram; !rest.empty();) {
+      auto header = parse(rest);
+      if (!header || header->kind == Kind::short_header) return false;
+      if (header->kind == Kind::zero_rtt) return true;
+      rest.remove_prefix(header->packet.size());
+    }
+    return false;
+  });
 }
 
 void Flow::established(std::string_view receipt) {
   standing = true;
-  flight.reset();
+  beginning.reset();
   if (may_answer(receipt.size())) return front.to_client(client, receipt);
   front.over_budget_.add();
 }
@@ -91,16 +92,16 @@
 void Flow::answer(std::string_view reason) {
   exchange = nullptr;
   used = front.loop_.now();
-  flight.reset();
   if (by_tuple) {  // without its keys there is nothing to say it with
     done = true;
     return;
   }
   Header header;
   header.version = version;
-  header.destination = keys_from;
+  beginning->flight = {};
+  header.destination = beginning->keys_from;
   header.source = client_source;
-  closing = close_initial(header, kConnectionRefused, reason);
+  std::string& closing = beginning->closing = close_initial(header, kConnectionRefused, reason);
   front.closes_.add();
   if (may_answer(closing.size())) front.to_client(client, closing);
 }
@@ -140,8 +141,7 @@
   }
   front.attach(*this, *path);
   front.begin_trying(*this);
-  if (flight)
-    for (const std::string& datagram : *flight) front.send_first(*this, datagram);
+  for (const std::string& datagram : beginning->flight) front.send_first(*this, datagram);
   return attempt;
 }
 
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -80,17 +80,25 @@
   // (RFC 9000, 8.1).
   bool may_answer(std::size_t octets);
   bool silence_tells() const;
+  bool refused() const { return beginning && !beginning->closing.empty(); }
+  bool began_as(std::string_view id) const {
+    return first_destination == id || (original && *original == id);
+  }
   Front& front;
   ConnectionId first_destination, client_source;  // what its Initials carry; the key in the table
-  ConnectionId original;   // the first of all, where a Retry of the router's changed it; else empty
-  ConnectionId keys_from;  // the id that its Initial keys come from: a worker's Retry changes it
+  // Until it stands, or its answer is out of use.
+  struct Beginning {
+    std::vector<std::string> flight;  // the client's first datagrams, for another attempt
+    ConnectionId keys_from;           // the id that its Initial keys come from: a worker's Retry changes it
+    std::string closing;              // the answer to a call that was not established
+  };
+  std::unique_ptr<Beginning> beginning;
+  std::unique_ptr<ConnectionId> original;  // the first id of all, where a Retry changed it
   std::uint32_t version = kVersion1;
   Endpoint client;
   core::Exchange* exchange = nullptr;
   Path* path = nullptr;  // to the worker that holds it, or that is being tried
   std::vector<ConnectionId> links;
-  std::unique_ptr<std::vector<std::string>> flight;  // the client's first datagrams, for another attempt
-  std::string closing;                               // the answer to a call that was not established
   bool standing = false, done = false, validated = false, trying = false;
   bool by_tuple = false;  // its ids name no worker: it is known by its address alone
   bool bound = false;     // its worker has sent it a Retry: no other could take it up
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -147,8 +147,9 @@
     Flow& flow = *known->second;
     flow.used = now_;
     if (!flow.validated) flow.octets_in += datagram.bytes.size();
-    if (!flow.closing.empty()) {
-      if (flow.may_answer(flow.closing.size())) to_client(from, flow.closing);
+    if (flow.refused()) {
+      const std::string& closing = flow.beginning->closing;
+      if (flow.may_answer(closing.size())) to_client(from, closing);
       return;
     }
     return flow.standing ? follow(flow, bytes, datagram) : waiting(flow, datagram, bytes);
@@ -197,14 +198,16 @@
   }
   auto flow = std::make_shared<Flow>(*this, header, from);
   if (token) {
-    flow->original = token->original;
+    flow->original = std::make_unique<ConnectionId>(token->original);
     flow->validated = true;
   }
-  flow->flight = std::make_unique<std::vector<std::string>>();
-  flow->flight->emplace_back(bytes.substr(0, sound_length(bytes, header)));
+  flow->beginning = std::make_unique<Flow::Beginning>();
+  flow->beginning->keys_from = flow->first_destination;
+  flow->beginning->flight.emplace_back(bytes.substr(0, sound_length(bytes, header)));
   FlowKey key = flow_key(header.destination, header.source);
   if (auto early = early_.find(std::string(key.view())); early != early_.end()) {
-    for (std::string& datagram : early->second.datagrams) flow->flight->push_back(std::move(datagram));
+    for (std::string& datagram : early->second.datagrams)
+      flow->beginning->flight.push_back(std::move(datagram));
     early_.erase(early);
   }
   take(std::move(flow), key, bytes);
@@ -220,7 +223,7 @@
   call.request_class = request_class_;
   call.expires_in = settings_.deadline;
   core::Exchange& exchange = dispatcher_.take(std::move(call), *raw, *raw);
-  if (raw->closing.empty() && !raw->done) raw->exchange = &exchange;  // else it was answered from within
+  if (!raw->refused() && !raw->done) raw->exchange = &exchange;  // else it was answered from within
   return raw;
 }
 
@@ -234,7 +237,8 @@
     if (flow.path) flow.path->client = datagram.from;
     if (trying) begin_trying(flow);
   }
-  if (flow.flight && flow.flight->size() < kFlightBound) flow.flight->emplace_back(bytes);
+  if (flow.beginning && flow.beginning->flight.size() < kFlightBound)
+    flow.beginning->flight.emplace_back(bytes);
   if (flow.path) send_first(flow, bytes);
 }
 
@@ -265,7 +269,8 @@
     return unknown_id_.add();
   auto flow = std::make_shared<Flow>(*this, Header(), datagram.from);
   flow->by_tuple = true;
-  flow->flight = std::make_unique<std::vector<std::string>>(1, std::string(bytes));
+  flow->beginning = std::make_unique<Flow::Beginning>();
+  flow->beginning->flight.emplace_back(bytes);
   take(std::move(flow), key, bytes);
 }
 
@@ -361,7 +366,7 @@
   std::vector<std::shared_ptr<Flow>> over;
   for (auto& [key, flow] : flows_) {
     if (flow->moves_left > 0) flow->ask_to_move();
-    bool answered = !flow->closing.empty() && now - flow->used > kAnswerKept;
+    bool answered = flow->refused() && now - flow->used > kAnswerKept;
     bool idle = flow->standing && now - flow->used > settings_.idle;
     if (answered || idle || flow->done) over.push_back(flow);
   }
--- a/src/quic/worker_side.cpp
+++ b/src/quic/worker_side.cpp
@@ -80,17 +80,18 @@
 void Front::send_first(Flow& flow, std::string_view bytes) {
   Upstream* upstream = upstream_of(*flow.path);
   if (!upstream) return full_.add();
+  bool asked = flow.original && !(*flow.original == flow.first_destination);  // by us; a worker knows its own
   std::array<char, kLongestProxyHeader> header;
   std::size_t size = 0;
   if (!upstream->only) {
     ProxyHeader fields{false, flow.path->client, listen_, {}, {}};
-    if (!flow.original.empty()) {
-      fields.original_id = flow.original;
+    if (asked) {
+      fields.original_id = *flow.original;
       fields.retry_id = flow.first_destination;
     }
     size = write_proxy_header(header, fields);
-  } else if (!flow.original.empty()) {
-    send_control(*flow.path, fmt::format("RETRIED {} {}", hex(flow.first_destination), hex(flow.original)));
+  } else if (asked) {
+    send_control(*flow.path, fmt::format("RETRIED {} {}", hex(flow.first_destination), hex(*flow.original)));
   }
   send_now(upstream->fd(), std::string_view(header.data(), size), bytes);
 }
@@ -193,10 +194,10 @@
   for (Flow* flow : trying_at(upstream, client)) {
     if (flow->by_tuple || !(flow->client_source == header.destination)) continue;
     if (header.kind == Kind::initial) {
-      auto frames = open_initial(initial_keys(flow->keys_from, true, header.version), bytes);
+      auto frames = open_initial(initial_keys(flow->beginning->keys_from, true, header.version), bytes);
       if (frames) return {flow, std::move(*frames)};
     } else if (header.kind == Kind::retry) {
-      if (retry_is_authentic(bytes, flow->keys_from)) return {flow, ""};
+      if (retry_is_authentic(bytes, flow->beginning->keys_from)) return {flow, ""};
     } else {
       alike = flow;
       count += 1;
@@ -224,8 +225,8 @@
     if (header->kind == Kind::retry) {
       // The client begins again with the id that the worker has chosen; the call waits on, bound to it.
       if (flow->bound || header->source.empty()) return malformed_.add();
-      if (flow->original.empty()) flow->original = flow->first_destination;
-      flow->keys_from = header->source;
+      if (!flow->original) flow->original = std::make_unique<ConnectionId>(flow->first_destination);
+      flow->beginning->keys_from = header->source;
       flow->bound = true;
       link(*flow, header->source);
     }
@@ -257,10 +258,9 @@
   Flow* flow = linked(id);
   if (!flow)
     for (Flow* trying : trying_at(upstream, client))
-      if (trying->first_destination == id || trying->original == id) flow = trying;
+      if (trying->began_as(id)) flow = trying;
   Path* path = upstream.only ? upstream.only : known_path(client, upstream.worker);
-  if (!flow && path && path->flow && (path->flow->first_destination == id || path->flow->original == id))
-    flow = path->flow;
+  if (!flow && path && path->flow && path->flow->began_as(id)) flow = path->flow;
   return flow && flow->path && &flow->path->worker == &upstream.worker ? flow : nullptr;
 }
 
