Play two routers side by side, late replies and moves under new addresses in the suite

Need: what the design says of a second router, of a worker that answers too late and of a move while the address changes was built but not shown. Change: 8 further requirements; the stand-in worker tells the router that a connection has left; benchmarks share one way to start the router.

--- a/bench/quic_forward.cpp
+++ b/bench/quic_forward.cpp
@@ -13,7 +13,7 @@
 #include "peer.h"
 #include "quic/packet.h"
 #include "quic/proxy_header.h"
-#include "support/program.h"
+#include "router.h"
 
 namespace {
 
@@ -50,7 +50,9 @@
   }
 }
 
-void sink(int fd, std::atomic<std::size_t>& count, const std::atomic<bool>& stop) {
+// What comes on a socket, a batch at a time, until it is told to stop.
+template <class Each>
+void receive_all(int fd, const std::atomic<bool>& stop, Each each) {
   std::vector<char> buffers(kBatch * 2048);
   std::vector<mmsghdr> messages(kBatch);
   std::vector<iovec> parts(kBatch);
@@ -64,10 +66,14 @@
       messages[i].msg_hdr.msg_iovlen = 1;
     }
     int n = ::recvmmsg(fd, messages.data(), kBatch, MSG_WAITFORONE, nullptr);
-    if (n > 0) count += static_cast<std::size_t>(n);
+    if (n > 0) each(messages, parts, static_cast<std::size_t>(n));
   }
 }
 
+void sink(int fd, std::atomic<std::size_t>& count, const std::atomic<bool>& stop) {
+  receive_all(fd, stop, [&](auto&, auto&, std::size_t n) { count += n; });
+}
+
 std::int64_t cpu_of(pthread_t thread) {
   clockid_t clock;
   timespec t{};
@@ -76,24 +82,10 @@
 }
 
 void bare(int in, int out, const std::atomic<bool>& stop) {
-  std::vector<char> buffers(kBatch * 2048);
-  std::vector<mmsghdr> messages(kBatch);
-  std::vector<iovec> parts(kBatch);
-  timeval wait{0, 50000};
-  ::setsockopt(in, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
-  while (!stop) {
-    for (std::size_t i = 0; i < kBatch; ++i) {
-      parts[i] = {buffers.data() + i * 2048, 2048};
-      messages[i].msg_hdr = {};
-      messages[i].msg_hdr.msg_iov = &parts[i];
-      messages[i].msg_hdr.msg_iovlen = 1;
-    }
-    int n = ::recvmmsg(in, messages.data(), kBatch, MSG_WAITFORONE, nullptr);
-    if (n <= 0) continue;
-    for (int i = 0; i < n; ++i)
-      parts[static_cast<std::size_t>(i)].iov_len = messages[static_cast<std::size_t>(i)].msg_len;
+  receive_all(in, stop, [out](std::vector<mmsghdr>& messages, std::vector<iovec>& parts, std::size_t n) {
+    for (std::size_t i = 0; i < n; ++i) parts[i].iov_len = messages[i].msg_len;
     ::sendmmsg(out, messages.data(), static_cast<unsigned>(n), 0);
-  }
+  });
 }
 
 struct Figure {
@@ -128,8 +120,7 @@
   for (std::size_t flows : sizes) {
     std::vector<int> sockets;
     for (std::size_t i = 0; i < flows; ++i) sockets.push_back(test::bound(SOCK_DGRAM));
-    IdConfig config{2, 4, 6, std::string(16, 'k')};
-    IdCodec codec({config});
+    IdCodec codec({bench::ids()});
     std::vector<std::string> packets;
     for (std::size_t i = 0; i < flows; ++i)
       packets.push_back("\x40" + codec.encode(2, default_server_id("g-1", 4), fmt::format("{:06}", i)) +
@@ -140,7 +131,7 @@
       std::atomic<bool> stop = false;
       std::atomic<std::size_t> count = 0;
       int sink_fd = socket_on_loopback(), bare_in = -1, bare_out = -1;
-      std::unique_ptr<test::Program> router;
+      bench::Router router;
       std::thread forwarder;
       sockaddr_in to;
       if (way == "bare") {
@@ -151,46 +142,20 @@
         to = test::loopback(test::port_of(bare_in));
         forwarder = std::thread([&] { bare(bare_in, bare_out, stop); });
       } else {
-        test::json known = test::json::array({{{"name", "g-1"},
-                                               {"address", test::text_of(test::port_of(sink_fd))},
-                                               {"zone", "a"},
-                                               {"type", "m"},
-                                               {"group", 0},
-                                               {"status", "ready"},
-                                               {"weight", 1.0},
-                                               {"since_ms", 0}}});
-        int port = test::free_port(SOCK_DGRAM);
-        char path[] = "/tmp/marblehub-bench-XXXXXX";
-        ::close(mkstemp(path));
-        std::ofstream(path) << test::json{{"enabled", true},
-                                          {"listen", test::text_of(port)},
-                                          {"class", "telemetry"},
-                                          {"deadline_ms", 3000},
-                                          {"idle_ms", 60000},
-                                          {"calls", 20000},
-                                          {"paths", 20000},
-                                          {"forwarding", way},
-                                          {"ids", test::json::array({{{"rotation", 2},
-                                                                      {"server_id_length", 4},
-                                                                      {"nonce_length", 6},
-                                                                      {"key", hex(config.key)}}})}}
-                                   .dump();
-        test::json settings = test::settings();
-        settings["limits"]["probes"] = false;
-        router = std::make_unique<test::Program>(known, settings, test::free_port(SOCK_STREAM), path);
-        std::remove(path);
-        to = test::loopback(port);
+        router = bench::start_router(test::text_of(test::port_of(sink_fd)), way, 1024);
+        to = test::loopback(router.port);
       }
       std::thread drain([&] { sink(sink_fd, count, stop); });
       std::thread load([&] { source(sockets, packets, to, stop); });
-      Figure figure = measure(seconds, count,
-                              [&] { return router ? router->cpu_us() : cpu_of(forwarder.native_handle()); });
+      Figure figure = measure(seconds, count, [&] {
+        return router.program ? router.program->cpu_us() : cpu_of(forwarder.native_handle());
+      });
       if (way == "bare") of_bare = figure.per_second;
       fmt::print("{:>6} {:<10} {:>12.0f} {:>14.2f} {:>8.2f}{}\n", flows, way, figure.per_second,
                  figure.cpu_us, figure.per_second / of_bare,
-                 router ? fmt::format("   resident {} kB, {} descriptors", router->resident_kb(),
-                                      router->descriptors())
-                        : "");
+                 router.program ? fmt::format("   resident {} kB, {} descriptors",
+                                              router.program->resident_kb(), router.program->descriptors())
+                                : "");
       std::fflush(stdout);
       stop = true;
       load.join();
--- a/bench/quic_memory.cpp
+++ b/bench/quic_memory.cpp
@@ -7,7 +7,7 @@
 #include "peer.h"
 #include "quic/initial.h"
 #include "quic/proxy_header.h"
-#include "support/program.h"
+#include "router.h"
 
 using namespace marblehub;
 using namespace marblehub::quic;
@@ -22,36 +22,10 @@
     wanted = std::min<std::size_t>(wanted, files.rlim_max - 200);
   }
   peers::Udp worker;
-  int port = test::free_port(SOCK_DGRAM);
-  test::json known = test::json::array({{{"name", "g-1"},
-                                         {"address", worker.local().text()},
-                                         {"zone", "a"},
-                                         {"type", "m"},
-                                         {"group", 0},
-                                         {"status", "ready"},
-                                         {"weight", 1.0},
-                                         {"since_ms", 0}}});
-  char path[] = "/tmp/marblehub-bench-XXXXXX";
-  ::close(mkstemp(path));
-  std::ofstream(path) << test::json{{"enabled", true},
-                                    {"listen", test::text_of(port)},
-                                    {"class", "telemetry"},
-                                    {"deadline_ms", 3000},
-                                    {"idle_ms", 600000},
-                                    {"calls", 65536},
-                                    {"paths", 65536},
-                                    {"forwarding", "proxy-v2"},
-                                    {"ids", test::json::array({{{"rotation", 2},
-                                                                {"server_id_length", 4},
-                                                                {"nonce_length", 6},
-                                                                {"key", std::string(32, 'a')}}})}}
-                             .dump();
-  test::json settings = test::settings();
-  settings["limits"]["probes"] = false;
-  test::Program router(known, settings, test::free_port(SOCK_STREAM), path, "/nonexistent", 256);
-  std::remove(path);
-  IdCodec codec({{2, 4, 6, std::string(16, '\xaa')}});
-  Endpoint to = *Endpoint::parse(test::text_of(port));
+  bench::Router started = bench::start_router(worker.local().text(), "proxy-v2", 256);
+  test::Program& router = *started.program;
+  IdCodec codec({bench::ids()});
+  Endpoint to = *Endpoint::parse(test::text_of(started.port));
   long empty = router.resident_kb();
 
   std::vector<std::unique_ptr<peers::Udp>> clients;
--- a/conformance/peer.cpp
+++ b/conformance/peer.cpp
@@ -366,7 +366,7 @@
 // ---- The client ------------------------------------------------------------------------------------
 
 Client::Client(const Endpoint& router, ClientOptions options)
-    : began(now_us()), hop(options.family, options.faults), router_(router), options_(options) {
+    : began(now_us()), hop(options.family, options.faults), router_(router), via_(router), options_(options) {
   believed_ = hop.address();
   require(gnutls_init(&session_, GNUTLS_CLIENT | GNUTLS_ENABLE_EARLY_DATA | GNUTLS_NO_END_OF_EARLY_DATA) == 0,
           "no TLS session");
@@ -432,7 +432,7 @@
   early_taken_ = options_.resume && !ngtcp2_conn_get_early_data_rejected(conn_);
 }
 
-void Client::transmit(const ngtcp2_path&, std::string_view bytes) { hop.send(bytes, router_); }
+void Client::transmit(const ngtcp2_path&, std::string_view bytes) { hop.send(bytes, via_); }
 
 void Client::text_came(std::int64_t, const std::string& text) { answers_[text] += 1; }
 
@@ -548,6 +548,11 @@
       if (worker_.options.links)
         worker_.say(fmt::format("LINK {} {}", quic::hex(first_), quic::hex(id)), client_);
   }
+  // Through another router than before: the one before is told that the connection has left it.
+  void came_through(const Endpoint& router) {
+    if (router_.known() && !(router_ == router)) worker_.leave(router_, client_, ids[0]);
+    router_ = router;
+  }
   void move() {
     if (over_) return;
     shut(kMoved);
@@ -591,7 +596,7 @@
   };
   Worker& worker_;
   const std::string first_;  // the id that the client's very first Initial went to
-  Endpoint client_;
+  Endpoint client_, router_;
   std::vector<Lock> locks_;
   std::vector<std::string> unlinked_;
 };
@@ -640,6 +645,12 @@
   send(std::string(kControl) + words, client);
 }
 
+void Worker::leave(const Endpoint& router, const Endpoint& client, const std::string& id) {
+  std::array<char, quic::kLongestProxyHeader> header;
+  std::size_t size = quic::write_proxy_header(header, {false, listen_, client, {}, {}});
+  udp_->send(std::string(header.data(), size) + std::string(kControl) + "LEFT " + quic::hex(id), router);
+}
+
 void Worker::control(std::string_view words, const Endpoint&, const Endpoint&) {
   if (words.starts_with("MOVE ")) {
     auto id = quic::unhex(words.substr(5));
@@ -719,19 +730,7 @@
       if (!header || header->local) continue;
       client = header->source;
       listen_ = header->destination;
-      Endpoint& router = routers_[std::string(client.octets())];
-      if (router.known() && !(router == came->from)) {
-        // Through another router now: the one before is told that the connection has left it.
-        for (auto& served : all_)
-          if (served->client() == client && !served->over()) {
-            std::array<char, quic::kLongestProxyHeader> head;
-            std::size_t size = quic::write_proxy_header(head, {false, listen_, client, {}, {}});
-            udp_->send(
-                std::string(head.data(), size) + std::string(kControl) + "LEFT " + quic::hex(served->ids[0]),
-                router);
-          }
-      }
-      router = came->from;
+      routers_[std::string(client.octets())] = came->from;
       if (!header->original_id.empty())
         told_[std::string(header->retry_id)] = std::string(header->original_id);
     }
@@ -748,6 +747,7 @@
     auto known = by_id_.find(destination);
     if (known != by_id_.end()) {
       auto served = known->second;
+      if (options.proxy) served->came_through(came->from);
       served->take(client, bytes);
       continue;
     }
--- a/conformance/peer.h
+++ b/conformance/peer.h
@@ -147,7 +147,9 @@
   // Sent as soon as a stream is to be had; each text once.
   void request(std::string text);
   void rebind() { hop.rebind(); }  // another address, unknown to the client itself
-  bool migrate();                  // another address, announced, with a fresh id (RFC 9000, 9.2)
+  // Its datagrams go to another router from now on, as a new address may have them go.
+  void go_through(const Endpoint& router) { via_ = router; }
+  bool migrate();  // another address, announced, with a fresh id (RFC 9000, 9.2)
   bool update_key();
   void leave() { shut(0); }
   bool early_data_taken() const { return early_taken_; }
@@ -169,7 +171,8 @@
   void open_streams();
   static int ticket_came(gnutls_session_t, unsigned, unsigned, unsigned, const gnutls_datum_t*);
 
-  const Endpoint router_;
+  const Endpoint router_;  // the address that the library has for the other end
+  Endpoint via_;           // where the datagrams go
   const ClientOptions options_;
   Endpoint believed_;  // the address that the library has for this end
   std::deque<std::string> waiting_;
@@ -222,6 +225,7 @@
   void control(std::string_view words, const Endpoint& client, const Endpoint& router);
   void send(std::string_view bytes, const Endpoint& client);
   void say(const std::string& words, const Endpoint& client);
+  void leave(const Endpoint& router, const Endpoint& client, const std::string& id);
   std::string make_id();
 
   quic::IdCodec codec_;
--- a/conformance/suites.cpp
+++ b/conformance/suites.cpp
@@ -582,6 +582,47 @@
                stage.counter("marblehub_quic_amplification_stops_total") > 0);
 }
 
+// A worker that answers after its call was given up: nobody may hear of it.
+void late_replies(Report& report) {
+  report.suite("late");
+  for (bool proxy : {true, false}) {
+    std::string way = proxy ? " (proxy-v2)" : " (socket)";
+    StageOptions options = usual(proxy);
+    options.deadline_ms = 600;
+    Stage stage({"g-1"}, options);
+    Udp sink;
+    stage.run(4500, [&] { return stage.registry.watched(); });
+    stage.registry.set("g-1", sink.local().text(), "ready");
+    stage.run(300);
+    Probe probe(stage);
+    std::string id = fresh_id();
+    probe.send(bare_initial(id, "source"));
+    std::optional<Udp::Came> came;
+    std::vector<std::string> answers;
+    stage.run(900, [&] {
+      if (auto one = sink.receive()) came = one;
+      while (auto back = probe.udp.receive()) answers.push_back(back->bytes);
+      return came && !answers.empty();
+    });
+    report.check("PROTOCOL, answers",
+                 "a worker that says nothing leaves a call that is refused in time" + way,
+                 came && answers.size() == 1 && closes_with(answers[0], id, kConnectionRefused));
+    if (!came) continue;
+    std::string reply =
+        seal_initial(initial_keys(id, true), "source",
+                     IdCodec({options.worker.ids}).encode(2, stage.worker(0).server_id, "nonce!"), 0,
+                     std::string(100, '\0'));
+    std::string_view bytes = came->bytes;
+    std::string head;
+    if (auto header = proxy ? take_proxy_header(bytes) : std::nullopt) {
+      std::array<char, kLongestProxyHeader> out;
+      head.assign(out.data(), write_proxy_header(out, {false, header->destination, header->source, {}, {}}));
+    }
+    sink.send(head + reply, came->from);
+    report.check("PROTOCOL, answers", "what it says after that reaches nobody" + way, !probe.answer(300));
+  }
+}
+
 // ---- Migration -------------------------------------------------------------------------------------
 
 void migration(Report& report) {
@@ -658,9 +699,10 @@
     stage.run(2500, [&] { return stage.all_up(); });
     report.check("PROTOCOL, drains", "nothing new goes to a draining worker after 250 ms" + way,
                  leaving.initials == before);
-    report.check("PROTOCOL, moves", "its clients are asked to move" + way, stage.run(4000, [&] {
-      return leaving.moves.size() >= static_cast<std::size_t>(leaving.accepted);
-    }));
+    for (auto& c : stage.clients) c->rebind();  // a move may be under way for some
+    report.check(
+        "PROTOCOL, moves", "its clients are asked to move, whatever their address by then" + way,
+        stage.run(4000, [&] { return leaving.moves.size() >= static_cast<std::size_t>(leaving.accepted); }));
     report.check("PROTOCOL, moves", "and are gone from it" + way,
                  stage.run(1000, [&] { return leaving.connections() == 0; }));
   }
@@ -766,6 +808,29 @@
     report.check("DESIGN, mapping", "and the module counts them again" + way,
                  stage.counter("marblehub_connections") == static_cast<double>(stage.clients.size()));
   }
+  // Two routers with the same files: every client's new address leads to the other one.
+  Stage stage({"g-1", "g-2"}, usual());
+  for (int i = 0; i < 10; ++i) stage.client();
+  stage.run(3000, [&] { return stage.all_up(); });
+  Endpoint other = stage.second_router();
+  for (auto& c : stage.clients) {
+    c->request("at the first");
+    c->rebind();
+    c->go_through(other);
+  }
+  bool good = stage.run(3000, [&] { return stage.all_answered(); });
+  report.check("brief", "a client whose new address leads to another router keeps its connection", good);
+  for (int i = 0; i < 3; ++i) {
+    for (auto& c : stage.clients) c->request("at the second " + std::to_string(i));
+    stage.run(150);
+  }
+  stage.run(400);
+  report.check("brief", "with one answer to every request",
+               stage.run(2000, [&] { return stage.all_answered(); }));
+  report.check("DESIGN, mapping", "the module of the new router counts it",
+               stage.counter("marblehub_connections", true) == 10);
+  report.check("DESIGN, mapping", "and that of the old one no more",
+               stage.counter("marblehub_connections") == 0);
 }
 
 // ---- Reload ----------------------------------------------------------------------------------------
@@ -868,6 +933,7 @@
       {"0-rtt", "early data in every order", zero_rtt},
       {"retry", "address validation by the router and by workers", retry},
       {"amplification", "three times what came in", amplification},
+      {"late", "workers that answer after their call was given up", late_replies},
       {"migration", "addresses that change, keys, ECN, IPv6", migration},
       {"workers", "workers that drain, refuse, die and come back", workers},
       {"routers", "routers that start anew", routers},
