Wait for confirmed handshakes before the suite gives clients new addresses

Cause: one run in four of the routers suite failed behind socket forwarding: a restart gives every client another address at its worker, which drops packets from one until the handshake is confirmed (RFC 9000, 9). Change: the suite waits 300 ms.

--- a/conformance/suites.cpp
+++ b/conformance/suites.cpp
@@ -794,6 +794,7 @@
     Stage stage({"g-1", "g-2"}, usual(proxy));
     for (int i = 0; i < 10; ++i) stage.client();
     stage.run(3000, [&] { return stage.all_up(); });
+    stage.run(300);  // no end may change its address before the handshake is confirmed (RFC 9000, 9)
     stage.restart_router();
     bool good = stage.all_up();
     for (auto& c : stage.clients) c->request("after");
@@ -812,6 +813,7 @@
   Stage stage({"g-1", "g-2"}, usual());
   for (int i = 0; i < 10; ++i) stage.client();
   stage.run(3000, [&] { return stage.all_up(); });
+  stage.run(300);
   Endpoint other = stage.second_router();
   for (auto& c : stage.clients) {
     c->request("at the first");
