--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -121,7 +121,7 @@
       setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
       rlimit limit{files, files};
       setrlimit(RLIMIT_NOFILE, &limit);
-      close_range(3, ~0U, 0);  // so that it begins with the same descriptors wherever the test runs
+      close_range(3, ~0U, 0);            // so that it begins with the same descriptors wherever the test runs
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive a test that crashes
       if (!freopen((folder_ + "/log").c_str(), "w", stderr) || !freopen("/dev/null", "w", stdout)) _exit(126);
       execl(program_path().c_str(), "marblehub", nullptr);
