--- a/conformance/suites.cpp
+++ b/conformance/suites.cpp
@@ -224,12 +224,10 @@
   report.check("RFC 9000, 6.1", "Version Negotiation is never answered", !probe.answer());
   stage.worker(0).options.mute = true;
   std::string second = bare_initial(fresh_id(), "source", kVersion2);
-  int before = stage.worker(0).initials;
   probe.send(second);
   stage.run(150);
   report.check("RFC 9369, 3.2", "an Initial of version 2 (type 0b01) is a call",
                stage.counter("marblehub_calls_total") == 1 && stage.worker(0).datagrams > 0);
-  (void)before;
   id = parse(second)->destination;
   std::optional<std::string> closed;
   stage.run(2500, [&] {
@@ -341,7 +339,6 @@
   Udp sink;
   std::string coalesced = bare_initial(fresh_id(), "source", kVersion1, "", 1200);
   std::string foreign = bare_initial(fresh_id(), "source", kVersion1, "", 300);
-  std::vector<std::size_t> sizes;
   Stage silent({"g-1"}, [] {
     StageOptions o = usual();
     o.worker.mute = true;
@@ -879,8 +876,6 @@
                    stage.program->log().find(std::string(32, 'a')) == std::string::npos);
   stage.run(1800);
   before = stage.worker(0).datagrams;
-  Client& other = stage.client();
-  (void)other;
   probe.send("\x40" + IdCodec({old}).encode(2, default_server_id("g-1", 4), "nonce!") + std::string(40, 'x'));
   stage.run(100);
   report.check("quic-load-balancers, 3.1", "after that time its ids name nobody",
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -89,6 +89,12 @@
   return Options(std::move(values), std::move(place), options, prefix);
 }
 
+std::vector<std::string> WorkerList::names() const {
+  std::vector<std::string> names;
+  for (const WorkerEntry& worker : workers) names.push_back(worker.backend.address);
+  return names;
+}
+
 WorkerList list_from(const Options& options) {
   using lemonspread::Health;
   WorkerList list;
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -38,6 +38,8 @@
   std::int64_t index = 0;
   bool snapshot = true;
   std::vector<WorkerEntry> workers;
+
+  std::vector<std::string> names() const;
 };
 WorkerList list_from(const Options& options);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -95,9 +95,7 @@
     auto settings =
         quic::quic_settings_from(*options, std::filesystem::path(startup.quic_file).parent_path());
     if (!settings.enabled) return std::nullopt;
-    std::vector<std::string> names;
-    for (const config::WorkerEntry& worker : startup.known.workers) names.push_back(worker.backend.address);
-    for (const std::string& finding : quic::server_id_conflicts(settings, names))
+    for (const std::string& finding : quic::server_id_conflicts(settings, startup.known.names()))
       throw config::DecodeError(startup.quic_file + ": " + finding);
     return settings;
   }
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -40,10 +40,8 @@
 // One client address to one worker.
 class Path {
  public:
-  Path(Front& front, const Endpoint& client, WorkerTable::Worker& worker)
-      : front(front), worker(worker), client(client) {}
+  Path(const Endpoint& client, WorkerTable::Worker& worker) : worker(worker), client(client) {}
 
-  Front& front;
   WorkerTable::Worker& worker;
   Endpoint client;
   Flow* flow = nullptr;           // the call or connection that it carries, where known
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -177,7 +177,7 @@
   if (bytes.size() < kSmallestInitial || header.destination.size() < kShortestFirstId || !header.fixed)
     return malformed_.add();  // RFC 9000, 14.1 and 7.2
   if (closed_) return to_client(from, close_initial(header, kConnectionRefused, "leaving"));
-  AddressValidation::Judged judged = validation_.judge(header, from, loop_.now());
+  AddressValidation::Judged judged = validation_.judge(header, from, now_);
   using Verdict = AddressValidation::Verdict;
   if (judged.verdict == Verdict::refuse) {
     bad_tokens_.add();
@@ -185,7 +185,7 @@
   }
   if (judged.verdict == Verdict::ask) {
     retries_.add();
-    return to_client(from, validation_.retry(header, from, loop_.now()));
+    return to_client(from, validation_.retry(header, from, now_));
   }
   new_call(header, bytes, from, judged.token);
 }
@@ -213,18 +213,21 @@
   take(std::move(flow), key, bytes);
 }
 
+core::Call Front::call() const {
+  core::Call call;
+  call.request_class = request_class_;
+  call.expires_in = settings_.deadline;
+  return call;
+}
+
 // The one place where a call of this front begins.
-Flow* Front::take(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes) {
+void Front::take(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes) {
   Flow* raw = flow.get();
   flows_.emplace(key, std::move(flow));
   raw->used = now_;
   raw->octets_in = bytes.size();
-  core::Call call;
-  call.request_class = request_class_;
-  call.expires_in = settings_.deadline;
-  core::Exchange& exchange = dispatcher_.take(std::move(call), *raw, *raw);
+  core::Exchange& exchange = dispatcher_.take(call(), *raw, *raw);
   if (!raw->refused() && !raw->done) raw->exchange = &exchange;  // else it was answered from within
-  return raw;
 }
 
 // More of a call that no worker has replied to. The client may have another address by now.
@@ -324,7 +327,7 @@
 
 void Front::reset_for(std::string_view id, std::string_view bytes, const Endpoint& to) {
   // Also for a handshake's packet (RFC 9000, 10.3): its client may have the token already.
-  auto packet = reset_.answer(id, bytes.size(), loop_.now());
+  auto packet = reset_.answer(id, bytes.size(), now_);
   if (!packet) return;
   resets_.add();
   to_client(to, *packet);
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -59,7 +59,8 @@
                 const std::optional<RetryToken>& token);
   void waiting(Flow& flow, const Datagram& datagram, std::string_view bytes);
   void by_tuple(std::string_view bytes, const Datagram& datagram);
-  Flow* take(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes);
+  core::Call call() const;  // what every call of this front asks for
+  void take(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes);
   void route(const IdCodec::Decoded& id, std::string_view bytes, const Datagram& datagram);
   void follow(Flow& flow, std::string_view bytes, const Datagram& datagram);
   void stash(const Header& header, std::string_view bytes);
@@ -88,6 +89,7 @@
   void send_to_worker(Path& path, std::string_view bytes, unsigned char ecn);
   void send_first(Flow& flow, std::string_view bytes);
   void send_control(Path& path, const std::string& words);
+  ProxyHeader header_towards(const Path& path) const { return {false, path.client, listen_, {}, {}}; }
   void flush();
 
   // ---- tables.cpp
--- a/src/quic/tables.cpp
+++ b/src/quic/tables.cpp
@@ -56,7 +56,7 @@
       return nullptr;
     }
   }
-  auto path = std::make_unique<Path>(*this, client, worker);
+  auto path = std::make_unique<Path>(client, worker);
   path->used = loop_.now();
   if (!upstream_of(*path)) return nullptr;
   Path* raw = path.get();
@@ -174,11 +174,8 @@
   flow->used = now_;
   attach(*flow, path);
   link(*flow, path.last_id);
-  core::Call call;
-  call.request_class = request_class_;
-  call.expires_in = settings_.deadline;
   core::Exchange& exchange =
-      dispatcher_.adopt(std::move(call), *flow, *flow, path.worker.name, std::make_unique<Adopted>());
+      dispatcher_.adopt(call(), *flow, *flow, path.worker.name, std::make_unique<Adopted>());
   if (flow->moves_left == 0 && !flow->done) flow->exchange = &exchange;  // else it has ended from within
 }
 
--- a/src/quic/worker_side.cpp
+++ b/src/quic/worker_side.cpp
@@ -70,8 +70,7 @@
   Upstream* upstream = upstream_of(path);
   if (!upstream) return full_.add();
   Sender::Entry& entry = upstream->sender->add(bytes, ecn);
-  if (!upstream->only)
-    entry.header_size = write_proxy_header(entry.header, {false, path.client, listen_, {}, {}});
+  if (!upstream->only) entry.header_size = write_proxy_header(entry.header, header_towards(path));
   if (std::exchange(upstream->dirty, true)) return;
   dirty_.push_back(upstream);
 }
@@ -84,7 +83,7 @@
   std::array<char, kLongestProxyHeader> header;
   std::size_t size = 0;
   if (!upstream->only) {
-    ProxyHeader fields{false, flow.path->client, listen_, {}, {}};
+    ProxyHeader fields = header_towards(*flow.path);
     if (asked) {
       fields.original_id = *flow.original;
       fields.retry_id = flow.first_destination;
@@ -100,7 +99,7 @@
   Upstream* upstream = upstream_of(path);
   if (!upstream) return;
   std::array<char, kLongestProxyHeader> header;
-  std::size_t size = upstream->only ? 0 : write_proxy_header(header, {false, path.client, listen_, {}, {}});
+  std::size_t size = upstream->only ? 0 : write_proxy_header(header, header_towards(path));
   send_now(upstream->fd(), std::string_view(header.data(), size), std::string(kControl) + words);
 }
 
@@ -311,13 +310,13 @@
   WorkerTable::Worker& worker = upstream.worker;
   if (!worker.closed) log::info("quic: the port of {} is closed", worker.name);
   workers_.closed(worker, loop_.now());
-  std::vector<std::shared_ptr<Flow>> there;
   if (upstream.only) {
     Flow* flow = upstream.only->flow;
     if (flow && flow->path == upstream.only)
       return lose(*flow, flow->standing ? Outcome::reset : Outcome::connect_failed);
     return;
   }
+  std::vector<std::shared_ptr<Flow>> there;
   for (auto& [key, flow] : flows_)
     if (flow->path && &flow->path->worker == &worker) there.push_back(flow);
   // Refused before any reply: the worker has not seen it. After that it took the connection along.
--- a/tools/application.cpp
+++ b/tools/application.cpp
@@ -78,10 +78,8 @@
 // Whether the second front could tell the workers of the starting file apart.
 void check_server_ids(const Startup& startup, const std::string& text, const std::filesystem::path& path,
                       Findings& findings) {
-  std::vector<std::string> names;
-  for (const WorkerEntry& worker : startup.known.workers) names.push_back(worker.backend.address);
   auto settings = quic::quic_settings_from(flatten(text, ""), path.parent_path());
-  for (std::string& line : quic::server_id_conflicts(settings, names))
+  for (std::string& line : quic::server_id_conflicts(settings, startup.known.names()))
     findings.errors.push_back(std::move(line));
 }
 
