--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -195,7 +195,8 @@
     std::size_t open = 0;        // connections that stand
     std::size_t down = 0;        // listed backends marked down
   };
-  Counts counts() const;
+  Counts counts() const;                         // walks all requests
+  std::size_t down() const;                      // listed backends marked down
   int active(const std::string& backend) const;  // connections counted there
 
  private:
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -133,6 +133,7 @@
   s.settings = settings_from(below(all, "settings", "settings: "));
   if (const std::string* file = all.find("quic")) s.quic_file = *file;
   if (const std::string* file = all.find("remote_write")) s.remote_write_file = *file;
+  if (const std::string* file = all.find("rebalance")) s.rebalance_file = *file;
   return s;
 }
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -68,6 +68,7 @@
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
   timers_.push({now() + kWatchEvery, Due::watch});
+  startup_list_ = startup.known;
   tell_list(ListForm::remembered, startup.known);
 }
 
@@ -104,7 +105,7 @@
 }
 
 Exchange& Dispatcher::adopt(Call call, ClientSide& client, WorkerSide& workers, const std::string& worker,
-                            std::unique_ptr<Delegation> delegation) {
+                            std::unique_ptr<Delegation> delegation, bool past_known) {
   std::uint64_t id = next_id_++;
   auto made = std::make_unique<Exchange>(*this, id, std::move(call), client, workers, now());
   Exchange& exchange = *made;
@@ -116,6 +117,7 @@
   exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
   exchange.delegation_ = std::move(delegation);
   const Call& c = exchange.call();
+  if (watch_) watch_->stands(id, worker, c, !past_known);
   tell(HandoverEvent{{id, c.request_class, c.expires_in, c.load_hint, c.returned, c.group}, worker});
   return exchange;
 }
@@ -160,6 +162,10 @@
 void Dispatcher::established(Exchange& exchange) {
   served_.add();
   unanswered_ -= 1;
+  if (watch_) {
+    watch_->answered(false);
+    watch_->stands(exchange.id_, exchange.worker_, exchange.call(), exchange.handed_tries_ > 0);
+  }
   int attempt = exchange.attempts_ - 1;
   if (exchange.handed_tries_ > 0) {
     exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
@@ -179,6 +185,7 @@
 }
 
 void Dispatcher::attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal) {
+  if (watch_ && report.load >= 0) watch_->reported(exchange.worker_, report.load);
   outcomes_[static_cast<std::size_t>(outcome)]->add();
   log::debug("call {} at {}: {} after {} ms", exchange.id_, exchange.worker_,
              kOutcomeNames[static_cast<std::size_t>(outcome)], (now() - exchange.sent_at_) / kMillisecond);
@@ -206,6 +213,7 @@
 
 void Dispatcher::redirected(Exchange& exchange) {
   moves_.add();
+  if (watch_) watch_->told_to_move();
   log::debug("call {} moves off {}", exchange.id_, exchange.worker_);
   ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
   close(exchange);
@@ -216,6 +224,7 @@
 void Dispatcher::answer(Exchange& exchange, Answer answer, Time pause, std::string_view words) {
   if (exchange.state_ != Exchange::State::waiting) return;
   unanswered_ -= 1;
+  if (watch_) watch_->answered(true);
   if (answer == Answer::overload) {
     overloads_.add();
     exchange.answer_overload(pause);
@@ -236,6 +245,7 @@
 void Dispatcher::close(Exchange& exchange) {
   auto it = calls_.find(exchange.id_);
   if (it == calls_.end()) return;
+  if (watch_) watch_->gone(exchange.id_);
   ended_.push_back(std::move(it->second));
   calls_.erase(it);
 }
@@ -263,6 +273,7 @@
 }
 
 void Dispatcher::load_changed(Exchange& exchange, double load) {
+  if (watch_) watch_->load_is(exchange.id_, load);
   tell(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::load_changed, load});
 }
 
@@ -270,8 +281,13 @@
   std::vector<std::uint64_t> silent, stuck;
   std::vector<std::pair<std::uint64_t, Time>> late;
   Time at = now();
-  for (auto& [id, exchange] : calls_) {
-    if (exchange->state_ != Exchange::State::standing) continue;
+  for (auto next = busy_.begin(); next != busy_.end();) {
+    std::uint64_t id = *next;
+    Exchange* exchange = find(id);
+    bool busy = exchange && exchange->state_ == Exchange::State::standing &&
+                (exchange->moving_ || !exchange->unanswered_.empty());
+    next = busy ? std::next(next) : busy_.erase(next);
+    if (!busy) continue;
     if (exchange->moving_ && at - exchange->moving_since_ > kMidLineBound) stuck.push_back(id);
     if (exchange->unanswered_.empty()) continue;
     Time waited = at - exchange->unanswered_.front();
@@ -291,10 +307,23 @@
     }
   for (std::uint64_t id : stuck)
     if (Exchange* exchange = find(id)) exchange->redirect_now();
-  Balancer::Counts counts = balancer_.counts();
   standing_gauge_.set(static_cast<double>(standing()));
   waiting_gauge_.set(static_cast<double>(unanswered_));
-  down_gauge_.set(static_cast<double>(counts.down));
+  down_gauge_.set(static_cast<double>(balancer_.down()));
+}
+
+// ---- A planner's part --------------------------------------------------------------------------------
+
+void Dispatcher::watched_by(StandingWatch& watch) {
+  watch_ = &watch;
+  watch.members(startup_list_);
+}
+
+bool Dispatcher::move(std::uint64_t id) {
+  Exchange* exchange = find(id);
+  if (!exchange || exchange->state_ != Exchange::State::standing || exchange->moving_) return false;
+  exchange->redirect();
+  return true;
 }
 
 // ---- Probes and lists --------------------------------------------------------------------------------
@@ -304,12 +333,14 @@
   probe_outcomes_[static_cast<std::size_t>(outcome)]->add();
   log::debug("probe of {}: {} after {} ms, load {:.2f}", worker,
              kOutcomeNames[static_cast<std::size_t>(outcome)], rtt / kMillisecond, report.load);
+  if (watch_ && report.load >= 0) watch_->reported(worker, report.load);
   tell(ProbeResultEvent{worker, rtt, outcome, report});
 }
 
 // What a whole list does not name is gone.
 void Dispatcher::learn(const config::WorkerList& list) {
   list_version_ += 1;
+  if (watch_) watch_->members(list);
   auto set = [this](Worker& worker, Health health) {
     if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = now();
     worker.health = health;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,13 +30,19 @@
 
   // ---- From the fronts.
   Exchange& take(Call call, ClientSide& client, WorkerSide& workers);
-  // A connection that stands already, at this worker: another balancer set it up, and it has come here.
+  // A connection that stands already, at this worker: another balancer set it up, and it has come here. Its
+  // past, how long it has stood and whether its client was moved, is known only where the call says it all.
   Exchange& adopt(Call call, ClientSide& client, WorkerSide& workers, const std::string& worker,
-                  std::unique_ptr<Delegation> delegation);
+                  std::unique_ptr<Delegation> delegation, bool past_known = false);
   void probe_result(const std::string& worker, Time rtt, Outcome outcome, const LoadReport& report);
   void list_told(const config::WorkerList& list);
   void list_refused();
 
+  // ---- For a planner of moves: who watches, and the one way to move a standing connection. False where
+  // there is none by that number, or it is being moved already.
+  void watched_by(StandingWatch& watch);
+  bool move(std::uint64_t id);
+
   // ---- Time. next_due is the earliest moment at which advance has something to do.
   Time next_due() const;
   void advance();
@@ -80,6 +87,7 @@
   void attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal);
   void left(Exchange& exchange, bool stood);
   void redirected(Exchange& exchange);
+  void has_open_business(Exchange& exchange) { busy_.insert(exchange.id_); }
 
   std::string address_of(const std::string& worker) const;  // empty: unknown
   void learn(const config::WorkerList& list);
@@ -109,6 +117,11 @@
   std::uint64_t list_version_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Exchange>> calls_;
   std::vector<std::unique_ptr<Exchange>> ended_;
+  // Standing ones with a message out or a move to make, and some that had: of many thousands that stand few
+  // have, and only these are looked at five times a second.
+  std::set<std::uint64_t> busy_;
+  StandingWatch* watch_ = nullptr;
+  config::WorkerList startup_list_;  // what a watcher is told first
   std::unordered_map<std::string, Pace> paces_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::deque<lemonspread::Event> events_;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -20,6 +20,7 @@
 
 void Exchange::client_sent(const Piece& piece) {
   if (state_ != State::standing || !delegation_) return;
+  if (unanswered_.empty() && piece.messages > 0) dispatcher_.has_open_business(*this);
   for (int i = 0; i < piece.messages && unanswered_.size() < kMessagesTimed; ++i)
     unanswered_.push_back(dispatcher_.now());
   delegation_->deliver(piece.bytes);
@@ -109,6 +110,7 @@
   if (state_ != State::standing || moving_) return;
   if (client_between_) return redirect_now();
   moving_ = true;
+  dispatcher_.has_open_business(*this);
   moving_since_ = dispatcher_.now();
 }
 
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -33,6 +33,8 @@
   void client_sent(const Piece& piece);
   void client_left(Ending ending);
   void client_full(bool on);  // the client takes no more for now
+  // By an operator's hand: told to come again as soon as its stream stands between two messages.
+  void move() { redirect(); }
 
   // ---- From the worker's side.
   bool may_begin() const;  // whether the worker may still be sent something new
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 #include "lemonspread/lemonspread.h"
@@ -25,9 +26,10 @@
 constexpr double kToll = 8;                   // crossing zones counts as latency: price x aim x this
 
 // Sampling of a big fleet.
-constexpr double kSampleLeast = 12;  // backends: enough to lose a third and still choose in every zone
-constexpr double kSampleRelays = 8;  // relays a backend: enough that one relay's crowd does not fill it
-constexpr double kOutside = 0.0005;  // weight outside the sample: a way out when all of it is in trouble
+constexpr double kSampleLeast = 12;   // backends: enough to lose a third and still choose in every zone
+constexpr double kSampleRelays = 8;   // relays a backend: enough that one relay's crowd does not fill it
+constexpr std::size_t kLooked = 128;  // candidates a draw looks at, or twice the root of the fleet if more
+constexpr double kOutside = 0.0005;   // weight outside the sample: a way out when all of it is in trouble
 
 // Groups. A backend pays for a group once, whether it holds one connection of it or all.
 constexpr double kGroupSlack = 1.2;  // the part of the fleet that a group keeps to, over its share
@@ -84,7 +86,9 @@
   double share_of_one = 0;      // what a usual connection of each relay adds to the load of a unit of size
   double shortest_aim_ms = 50;  // of the messages on any connection
   std::size_t next_in_turn = 0;
-  Time sweep_due = -1;  // -1: not begun
+  std::vector<int> all, near;       // indices of the backends; of the sampled ones, in any order
+  std::set<std::uint64_t> waiting;  // requests not answered yet, and some that were since the last sweep
+  Time sweep_due = -1;              // -1: not begun
   bool tracking = false, track_out = false;
   Time track_due = 0, track_backoff = kSecond;
 
@@ -135,6 +139,7 @@
   void apply(const BackendEntry& entry) {
     auto [it, fresh] = index.try_emplace(entry.address, static_cast<int>(backends.size()));
     if (fresh) {
+      all.push_back(static_cast<int>(backends.size()));
       backends.emplace_back();
       backends.back().address = entry.address;
       backends.back().hash = mixed(name_hash(entry.address));
@@ -156,11 +161,11 @@
     }
   }
 
-  // With many relays each uses only a sample of a big fleet, the same part of every zone and a step further
-  // than the relay before: every backend is in the samples of equally many relays, though none knows of
-  // another. A sample makes own counts and signs dense, and saves probes and relay-to-backend connections.
+  // With many relays each uses only a sample of a big fleet: the same part of every zone, a step further than
+  // the relay before, so that every backend is in equally many. Own counts and signs are dense, probes few.
   void choose_sample() {
     std::vector<Backend*> listed;
+    near.clear();
     for (Backend& b : backends)
       if (b.listed) listed.push_back(&b);
     std::sort(listed.begin(), listed.end(), [](const Backend* a, const Backend* b) {
@@ -175,6 +180,7 @@
       for (std::size_t i = from; i < to; ++i) {
         double at = (static_cast<double>(i - from) + 0.5) / static_cast<double>(to - from) + step;
         listed[i]->sampled = at - std::floor(at) < part;
+        if (listed[i]->sampled) near.push_back(static_cast<int>(listed[i] - backends.data()));
       }
     }
   }
@@ -187,8 +193,7 @@
 
   // ---- Probing and health ------------------------------------------------------------------------
 
-  // Probes cost relays x backends / interval. The interval is stretched until neither the price a request nor
-  // the work of one backend passes its bound; backends that hold our connections then get the larger part.
+  // Stretched until neither the price a request nor the work of one backend passes its bound.
   Time probe_interval() const {
     double held = 0, listed = 0;
     for (const Backend& b : backends)
@@ -230,11 +235,7 @@
     if (b.down) b.evidence = b.report = Faded(), chill(b, now), b.restart_unsure = true;
     b.down = false;
     b.misses = 0;
-    double ms = static_cast<double>(event.rtt) / kMillisecond;
-    if (b.timings.size() < kWindow) b.timings.push_back(0);
-    b.timings[b.timing_at++ % kWindow] = ms;
-    b.latency = 0;
-    for (double t : b.timings) b.latency += t / static_cast<double>(b.timings.size());
+    b.timed(static_cast<double>(event.rtt) / kMillisecond, kWindow);
     note_report(b, event.report);
   }
 
@@ -247,8 +248,8 @@
   // At a stretched interval three misses would take minutes: whoever looks bad is probed again at once.
   void suspect(Backend& b) { b.probe_due = std::min(b.probe_due, now + jittered(kRecheck)); }
 
-  // Shallow probes say little of slowness. What a message, a set-up or a report says of it counts as latency.
-  // A hung one is said to take seconds: unbounded, such a sign would outlast the trouble by half a minute.
+  // What a message, a set-up or a report says of slowness counts as latency. A hung one is said to take
+  // seconds: unbounded, such a sign would outlast the trouble by half a minute.
   double capped(double ms) const { return std::min(ms, kMostEvidence * shortest_aim_ms); }
   void worsen(Backend& b, double ms) { b.evidence.set(capped(std::max(evidence(b), ms)), now); }
   double evidence(const Backend& b) const {
@@ -290,9 +291,8 @@
   }
 
   // Which of the backends a request's group keeps to: so many that they hold its share of the connections
-  // with some to spare, in an order that the group and the backends' names give. All relays come to the same
-  // ones without knowing of each other, and little changes when a backend comes or goes. One that is late,
-  // down or cold gives its place to the next.
+  // with some to spare, in an order that its number and their names give, the same at all relays. Little
+  // changes when a backend comes or goes; one that is late, down or cold gives its place to the next.
   std::vector<char> home(const Request& r, const std::vector<int>& may) {
     std::vector<char> in(may.size(), 1);
     if (r.group == 0) return in;
@@ -318,16 +318,28 @@
     return in;
   }
 
-  // Draws a backend by the blend of active counts, recent connections and latency; -1: none may be used.
+  // In a big fleet each draw looks at a part, chosen anew; but a group's home is the same only over the
+  // whole.
   int pick(const Request& r) {
-    std::vector<int> may;
+    std::size_t looked = std::max(kLooked, 2 * static_cast<std::size_t>(std::sqrt(near.size())));
+    if (near.size() > looked && r.group == 0) {
+      for (std::size_t k = 0; k < looked; ++k) std::swap(near[k], near[k + random() % (near.size() - k)]);
+      int i = pick(r, {near.begin(), near.begin() + static_cast<std::ptrdiff_t>(looked)}, false);
+      if (i >= 0) return i;
+    }
+    return pick(r, all, true);
+  }
+
+  // Draws by the blend of active counts, recent connections and latency; -1: none may be used.
+  int pick(const Request& r, std::vector<int> may, bool whole) {
     std::size_t up = 0;
-    for (std::size_t i = 0; i < backends.size(); ++i)
-      if (allowed(backends[i], r)) may.push_back(static_cast<int>(i)), up += !backends[i].down;
+    std::erase_if(may, [&](int i) { return !allowed(backends[i], r); });
+    for (int i : may) up += !backends[i].down;
     bool any_sampled = false;
     for (int i : may) any_sampled |= backends[i].sampled && !backends[i].down;
     if (may.empty()) return -1;
-    if (up == 0) return may[next_in_turn++ % may.size()];  // all down: round robin, as without probes
+    if (up == 0)
+      return whole ? may[next_in_turn++ % may.size()] : -1;  // all down: round robin, as without probes
 
     double loads = 0, recents = 0, latencies = 0, timed = 0, scales = 0, level = 0, best = 1e18;
     std::vector<double> recent(may.size());
@@ -383,9 +395,8 @@
   bool spent(const Backend& b) const { return warmth(b) < 1 && b.cold_tokens <= 0; }
 
   // Each relay sends a cold backend no more than its ordinary part of the new connections times the warmth,
-  // in tokens of usual load, however big the crowd that comes back after a break and however few others are
-  // left: so all relays together stay under what it can do without knowing of each other. The random phase
-  // keeps them from all spending their first token at once.
+  // in tokens of usual load, however big a crowd comes back and however few others are left: so all relays
+  // together stay under what it can do. The random phase keeps them from spending their first at once.
   void refill_cold_tokens() {
     double scales = 0, load = 0, flow = fresh_flow.at(now, kFlowMemory) / (kFlowMemory / kSecond);
     for (const Backend& b : backends)
@@ -431,6 +442,7 @@
   void on(const RequestEvent& event) {
     if (requests.count(event.id) || !has_class(event)) return;
     requests_seen += 1;
+    waiting.insert(event.id);
     Request& r = admit(event);
     if (uniform() < admitted) return place(event.id, r);
     decline(event.id, r, settings.max_pause_us / 2 + up_to(settings.max_pause_us / 2));
@@ -443,7 +455,7 @@
     r.attempts = 1;
     r.backend = i;
     r.out = r.open = true;
-    count(r);
+    backends[r.backend].count(r);
     Backend& b = backends[i];  // nothing is known yet of a backend that may be full already
     if (b.timings.empty()) b.probe_due = std::min(b.probe_due, now + up_to(kRecheck));
   }
@@ -472,7 +484,7 @@
     r.sent_at = now;
     r.tried.push_back(i);
     actions->push_back(Submit{id, b.address, now + patience});
-    if (!c.stream) count(r);  // no word comes when it is accepted: it counts from here
+    if (!c.stream) backends[r.backend].count(r);  // no word comes when it is accepted: it counts from here
   }
 
   // The one final answer. A refusal promises that nothing ran twice if the client tries again.
@@ -496,20 +508,6 @@
     if (!r.out) requests.erase(id);
   }
 
-  void count(Request& r) {
-    r.counted = true;
-    backends[r.backend].active += 1;
-    backends[r.backend].load += r.load;
-  }
-
-  void uncount(Request& r) {
-    if (!r.counted) return;
-    r.counted = false;
-    Backend& b = backends[r.backend];
-    b.active -= 1;
-    b.load = b.active > 0 ? std::max(0.0, b.load - r.load) : 0;
-  }
-
   Request* find(std::uint64_t id, int attempt) {
     auto it = requests.find(id);
     return it != requests.end() && it->second.out && it->second.attempts == attempt + 1 ? &it->second
@@ -520,7 +518,7 @@
     Request* r = find(event.id, event.attempt);
     if (!r || r->open) return;
     r->open = true;
-    if (!r->counted) count(*r);
+    if (!r->counted) backends[r->backend].count(*r);
     if (!r->returned) fresh_flow.add(r->load, now, kFlowMemory);
   }
 
@@ -529,7 +527,7 @@
     if (!r) return;
     Backend& b = backends[r->backend];
     r->out = false;
-    uncount(*r);
+    b.uncount(*r);
     judge(b, event, *r);
     if (event.terminal || r->answered || r->open) {
       requests.erase(event.id);
@@ -570,27 +568,30 @@
 
   // ---- Standing connections ----------------------------------------------------------------------
 
-  // Whether a standing connection leaves its backend in this sweep. It earns nothing on one that is down, or
-  // whose messages come later than wanted. Moves are spread in time and stop when most others are no better.
+  // A standing connection earns nothing on a backend that is down, or whose messages come later than wanted.
+  bool troubled(const Backend& b) const {
+    if (b.active == 0) return false;
+    bool late = fresh(b, kNews) && evidence(b) >= kMoveFrom * shortest_aim_ms;
+    return b.leaving_since >= 0 || b.down || stuck(b) || late;
+  }
+
+  // Whether one leaves it in this sweep: spread in time, and not when most others are no better.
   bool leaves(const Request& r) {
     const Backend& b = backends[r.backend];
-    // One that drains takes its connections along when it stops: all are asked to move before, at an even
-    // pace, so that they do not come back as one crowd. None moves where there is nowhere to go.
+    // All are asked to move off a draining one before it stops, at an even pace: they must not come back as
+    // one crowd. None moves where there is nowhere to go.
     if (b.leaving_since >= 0) {
       Time left = b.leaving_since + kMoveOffLeaving - now;
-      return somewhere_to_go() && (left <= kSweep || uniform() * static_cast<double>(left) < kSweep);
+      bool somewhere =
+          std::any_of(backends.begin(), backends.end(), [&](auto& other) { return usable(other); });
+      return somewhere && (left <= kSweep || uniform() * static_cast<double>(left) < kSweep);
     }
     double lateness = std::min(1.0, evidence(b) / shortest_aim_ms);
-    if (lateness < kMoveFrom || !fresh(b, kNews)) lateness = 0;
     double rate =
         b.down || stuck(b) ? 1.0 / kMoveOffDead : lateness * lateness * std::min(2.0, r.load) / kMoveOffSlow;
     return uniform() < rate * kSweep && room_elsewhere();
   }
 
-  bool somewhere_to_go() const {
-    return std::any_of(backends.begin(), backends.end(), [this](const Backend& b) { return usable(b); });
-  }
-
   // One that hangs may still answer probes, and so is not down, but asked for many times what it can do. It
   // is no sign that the others are short of room.
   bool stuck(const Backend& b) const { return b.level > kStuck; }
@@ -610,9 +611,8 @@
     return admitted < 1 || (listed > 0 && 2 * bad <= judged + scales / listed);  // one unknown counts as good
   }
 
-  // When the fleet as a whole is full, every further connection makes all of them late. Fewer are let in
-  // until there is room again; no class or client is preferred. What is down or stuck has no part in it: a
-  // few bad backends must not shut clients out of the others.
+  // When the fleet as a whole is full, every further connection makes all late: fewer are let in until there
+  // is room. A few that are down or stuck must not shut clients out of the others.
   void adapt_admission() {
     double full = 0, scales = 0, held = 0;
     for (const Backend& b : backends) {
@@ -630,18 +630,19 @@
     refill_cold_tokens();
     adapt_admission();
     probe_due_backends();
-    std::vector<std::uint64_t> ids;
-    for (auto& [id, r] : requests)
-      if (!r.answered) ids.push_back(id);
+    if (std::any_of(backends.begin(), backends.end(), [this](const Backend& b) { return troubled(b); }))
+      for (auto& [id, r] : requests)
+        if (r.open && !r.answered && troubled(backends[r.backend]) && leaves(r))
+          actions->push_back(Redirect{id}), r.answered = true;
+    std::vector<std::uint64_t> ids(waiting.begin(), waiting.end());
     for (std::uint64_t id : ids) {
-      Request& r = requests.at(id);
-      if (r.open) {
-        if (leaves(r)) actions->push_back(Redirect{id}), r.answered = true;
-      } else if (!r.out) {
-        place(id, r);
-      } else if (now >= r.deadline - kSweep / 4) {
-        finish(id, r);  // the attempt's time-out never came: the client is owed its answer all the same
-      }
+      auto it = requests.find(id);
+      if (it == requests.end() || it->second.open || it->second.answered)
+        waiting.erase(id);
+      else if (!it->second.out)
+        place(id, it->second);
+      else if (now >= it->second.deadline - kSweep / 4)
+        finish(id, it->second);  // the time-out never came: the client is owed its answer all the same
     }
   }
 
@@ -676,10 +677,15 @@
   Counts c;
   for (const auto& [id, r] : impl_->requests)
     c.open += r.open && !r.answered, c.unanswered += !r.open && !r.answered;
-  for (const Backend& b : impl_->backends) c.down += b.listed && b.down;
+  c.down = down();
   return c;
 }
 
+std::size_t Balancer::down() const {
+  auto& all = impl_->backends;
+  return std::count_if(all.begin(), all.end(), [](const Backend& b) { return b.listed && b.down; });
+}
+
 int Balancer::active(const std::string& backend) const {
   int i = impl_->known(backend);
   return i < 0 ? 0 : impl_->backends[i].active;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,7 @@
 #include "net/registry_watch.h"
 #include "net/worker_side.h"
 #include "quic/front.h"
+#include "rebalance/driver.h"
 
 namespace marblehub {
 namespace {
@@ -23,6 +24,7 @@
 
 // A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
 constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
+constexpr Time kPlanEvery = 1'000'000;
 
 class Program {
  public:
@@ -38,11 +40,15 @@
         listener_(loop_, dispatcher_, workers_, address(), room_, metrics_),
         quic_(quic_front()),
         remote_write_(remote_writer()),
+        rebalance_counters_(metrics_),
+        rebalance_(planner_of_moves()),
+        plan_tick_(loop_, [this] { plan_moves(); }),
         retire_tick_(loop_, [this] { retire_step(); }),
         term_(loop_, SIGTERM, [this] { retire(); }),
         interrupt_(loop_, SIGINT, [this] { retire(); }),
         hangup_(loop_, SIGHUP, [this] { reload(); }),
         print_(loop_, SIGUSR1, [this] { print(); }),
+        pause_(loop_, SIGUSR2, [this] { pause_moves(); }),
         reloads_(metrics_.counter("marblehub_reloads_total", "Reloads of the configuration, by their result",
                                   {{"result", "taken"}})),
         reloads_refused_(metrics_.counter("marblehub_reloads_total",
@@ -64,6 +70,7 @@
     });
     log::info("{} listens on {}", startup_.name, startup_.listen);
     net::SignalGate hangups(SIGHUP);
+    if (rebalance_) plan_tick_.start(kPlanEvery);
     loop_.run();
     print();
   }
@@ -108,12 +115,42 @@
     return std::make_unique<quic::Front>(loop_, dispatcher_, std::move(settings), room_, metrics_);
   }
 
+  static std::optional<rebalance::Settings> rebalance_settings(const config::Startup& startup) {
+    auto options = optional_file(startup.rebalance_file);
+    if (!options) return std::nullopt;
+    rebalance::Settings settings = rebalance::settings_from(*options);
+    return settings.enabled ? std::optional(std::move(settings)) : std::nullopt;
+  }
+
+  std::unique_ptr<rebalance::Driver> planner_of_moves() {
+    auto settings = rebalance_settings(startup_);
+    if (!settings) return nullptr;
+    log::info("standing connections are {}", settings->dry_run ? "rebalanced in a dry run" : "rebalanced");
+    return std::make_unique<rebalance::Driver>(*settings, dispatcher_, startup_.seed, rebalance_counters_);
+  }
+
+  void plan_moves() {
+    const std::string& file = rebalance_->settings().pause_file;
+    std::error_code error;
+    rebalance_->pause(paused_ || (!file.empty() && std::filesystem::exists(file, error)));
+    if (retiring_since_ == 0) rebalance_->step();
+    plan_tick_.start(kPlanEvery);
+  }
+
+  // SIGUSR2: paused, and on the next one resumed.
+  void pause_moves() {
+    if (!rebalance_) return log::warning("rebalancing is off; there is nothing to pause");
+    paused_ = !paused_;
+    log::info("rebalancing: {} by signal", paused_ ? "paused" : "resumed");
+  }
+
   // SIGHUP. The file is taken whole or not at all, and no connection or call is touched.
   void reload() {
     try {
       config::Loaded loaded = config::load_startup(path_);
       // Both files are taken or neither: the second front's refusal comes before anything is followed.
       auto quic = quic_settings(loaded.startup);
+      auto rebalance = rebalance_settings(loaded.startup);
       if (quic_ && quic) {
         try {
           for (const std::string& key : quic_->reload(std::move(*quic)))
@@ -124,6 +161,10 @@
       } else if (quic || quic_) {
         log::warning("quic: enabled has changed, which takes a restart to follow");
       }
+      if (rebalance && rebalance_)
+        rebalance_->follow(*rebalance);
+      else if (rebalance || rebalance_)
+        log::warning("rebalance: enabled has changed, which takes a restart to follow");
       for (const std::string& key : config::needs_restart(values_, loaded.values))
         log::warning("{} has changed, which takes a restart to follow", key);
       registry_.follow(loaded.startup.registry);
@@ -174,11 +215,13 @@
   net::Listener listener_;
   std::unique_ptr<quic::Front> quic_;  // none unless its file enables it
   std::unique_ptr<metrics::RemoteWrite> remote_write_;
-  net::TimerWatch retire_tick_;
-  net::SignalWatch term_, interrupt_, hangup_, print_;
+  rebalance::Counters rebalance_counters_;
+  std::unique_ptr<rebalance::Driver> rebalance_;  // none unless its file enables it
+  net::TimerWatch plan_tick_, retire_tick_;
+  net::SignalWatch term_, interrupt_, hangup_, print_, pause_;
   metrics::Metric &reloads_, &reloads_refused_;
   Time retiring_since_ = 0, last_seen_empty_ = 0;
-  bool moving_ = false;
+  bool moving_ = false, paused_ = false;
 };
 
 }  // namespace
@@ -190,7 +233,7 @@
     std::cerr
         << "usage: marblehub [FILE]\n\nServes as FILE, or the file named by BALANCER_CONFIG, says. See\n"
            "marblehub-config --help for how to write and check one. SIGUSR1 prints the counters; SIGTERM\n"
-           "moves all clients and exits; SIGHUP reloads the file.\n";
+           "moves all clients and exits; SIGHUP reloads the file; SIGUSR2 pauses and resumes rebalancing.\n";
     return word == "--help" ? 0 : 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/src/model/host.h
@@ -0,0 +1,114 @@
+// A balancer of the model: the program's own dispatcher, module and planner on virtual time, with the clients
+// that are there. The ports of the core (core/ports.h) lead to the model's net instead of to sockets.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/dispatcher.h"
+#include "model/rules.h"
+#include "model/worker.h"
+#include "rebalance/driver.h"
+
+namespace marblehub::model {
+
+struct HostFigures {
+  long calls = 0, established = 0, refused = 0, failed = 0, gave_up = 0;
+  long moves = 0, planned = 0, told = 0, returned = 0, lost = 0;
+  double wanted = 0;                                 // client-seconds of wish
+  double without = 0;                                // of them without a connection
+  std::vector<Time> moved;                           // for balance, in order
+  std::vector<float> set_up_ms;                      // a sample of them
+  std::array<double, rebalance::kStills> seconds{};  // of the planner, in each state
+};
+
+class Host : public Lane, public core::Clock, public core::Prober, public core::Registry {
+ public:
+  Host(const Scenario& scenario, const Places& places, std::uint32_t number, std::uint64_t seed);
+  ~Host() override;
+
+  void begin();  // once its number is known; before the run
+  // A client that stands at `worker` from the beginning; the key under which the worker knows it.
+  std::uint64_t stands_already(const Client& client, int worker);
+  void happens(const Event& event) override;
+  void finish(Time end);  // after the run: what is still wanted is counted, what is owed is checked
+
+  const HostFigures& figures() const { return figures_; }
+  const Rules& rules() const { return rules_; }
+  void log_to(std::string* log) { log_ = log; }  // one line an event, for a replay
+
+  // core::Clock, core::Prober, core::Registry
+  Time now() const override { return Lane::now(); }
+  void probe(const std::string& worker, const std::string& address) override;
+  void track() override;
+
+ private:
+  struct Seat;    // a client that is here
+  class Attempt;  // a call that is out at a worker
+  class Net;      // the worker's side
+
+  void live();  // makes the dispatcher, at start and after a death
+  void settle();
+  void arrives(Client client);
+  void ask(Seat& seat);
+  void goes(Seat& seat, Time after, bool returned);
+  void retries(Seat& seat, Time after);
+  void free(Seat& seat);
+  Seat* seat_of(std::uint64_t key);
+  void listed(const Event& event);
+  void tick();
+  void message(Seat& seat);
+  void dies();
+  void drops(double share, Time within);
+  void spawn();
+  void planned_step();
+  Client new_client();
+  int worker_named(const std::string& name) const;
+  Event event_for(What what) const;
+  void send_worker(What what, int worker, std::uint64_t key, const Client* client);
+  Time hop() {
+    return scenario_.hop + static_cast<Time>(net_.uniform() * static_cast<double>(scenario_.jitter));
+  }
+  void note(const char* what, const Seat& seat, const std::string& more = {});
+
+  const Scenario& scenario_;
+  const Places& places_;
+  const std::uint32_t host_;
+  const std::uint64_t seed_;
+  Stream net_, spawn_, choice_;
+  config::Startup startup_;
+  std::optional<metrics::Registry> metrics_;
+  std::optional<rebalance::Counters> counters_;
+  std::unique_ptr<Net> workers_side_;
+  std::unique_ptr<core::Dispatcher> dispatcher_;
+  std::unique_ptr<rebalance::Driver> driver_;
+  bool alive_ = true, tracking_ = false, planning_ = false, over_ = false;
+  Time wake_at_ = -1;
+  std::deque<Seat> seats_;
+  std::vector<std::uint32_t> free_seats_;
+  std::unordered_map<std::string, int> workers_;
+  struct Known {  // of a worker, as this balancer was told
+    bool leaving = false;
+    Time told = 0;
+    std::vector<std::uint32_t> seats;  // that stand there
+    std::uint32_t speaks = 0;          // whose message is out, plus 1
+    Time spoke_at = 0;
+    bool all_speak = false;
+  };
+  std::vector<Known> known_;
+  std::vector<std::string> names_;
+  std::vector<Time> probes_;                      // when sent, by worker; -1: none is out
+  std::deque<std::pair<Time, int>> probe_order_;  // all, those answered included
+  std::map<std::uint32_t, Event> latest_;         // what the registry has to tell of each worker
+  std::uint32_t next_client_ = 0;
+  std::size_t ticks_ = 0;
+  HostFigures figures_;
+  Rules rules_;
+  std::string* log_ = nullptr;
+};
+
+}  // namespace marblehub::model
--- /dev/null
+++ b/src/model/page.cpp
@@ -0,0 +1,170 @@
+// The page of a report, from a Mustache template (mustache(5)); the plots are drawn as SVG, so the page needs
+// nothing else.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <kainjow/mustache.hpp>
+
+#include "model/study.h"
+
+namespace marblehub::model {
+namespace {
+
+using kainjow::mustache::data;
+using kainjow::mustache::mustache;
+
+constexpr double kWidth = 640, kHeight = 240, kLeft = 56, kBottom = 28;
+const char* const kColours[] = {"#1b6ca8", "#c0392b", "#2e8b57", "#8e44ad", "#b9770e", "#34495e"};
+
+const char* const kTemplate = R"(<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{title}}</title>
+<style>
+body { font: 15px/1.5 system-ui, sans-serif; max-width: 60rem; margin: 2rem auto; padding: 0 1rem; color: #222; }
+table { border-collapse: collapse; margin: 1rem 0; } td, th { padding: .25rem .75rem; text-align: right; border-bottom: 1px solid #ddd; }
+td:first-child, th:first-child { text-align: left; } .apart { font-weight: 600; } .bad { color: #b00; }
+svg text { font: 11px system-ui, sans-serif; fill: #444; } figure { margin: 1.5rem 0; } .key span { margin-right: 1.2rem; }
+</style></head><body>
+<h1>{{title}}</h1>
+<p>{{seeds}} seeds each. A difference is paired by seed, with a 95% interval; one that is apart from nought is bold.</p>
+<table><tr><th></th>{{#ways}}<th>{{name}}</th>{{/ways}}</tr>
+{{#rows}}<tr><td>{{name}}</td>{{#cells}}<td>{{mean}}{{#difference}}<br><small{{#apart}} class="apart"{{/apart}}>{{text}}</small>{{/difference}}</td>{{/cells}}</tr>
+{{/rows}}</table>
+<p class="key">{{#ways}}<span style="color:{{colour}}">&#9632; {{name}}</span>{{/ways}}</p>
+{{#plots}}<figure><figcaption>{{name}}</figcaption>{{{svg}}}</figure>
+{{/plots}}
+<h2>What was expected</h2>
+<table><tr><th>way</th><th>expected</th><th>held in</th></tr>
+{{#verdicts}}<tr{{#bad}} class="bad"{{/bad}}><td>{{way}}</td><td>{{text}}</td><td>{{held}} of {{all}}</td></tr>
+{{/verdicts}}</table>
+</body></html>
+)";
+
+using Pick = double (*)(const Result::Moment&);
+
+// The mean over the seeds at each moment.
+std::vector<std::pair<double, double>> line(const Way& way, Pick pick) {
+  std::vector<std::pair<double, double>> points;
+  for (std::size_t k = 0; k < way.results.front().moments.size(); ++k) {
+    double sum = 0;
+    for (const Result& r : way.results) sum += pick(r.moments[k]);
+    points.emplace_back(way.results.front().moments[k].at, sum / static_cast<double>(way.results.size()));
+  }
+  return points;
+}
+
+std::string plot(const std::vector<Way>& ways, Pick pick) {
+  double most = 0, end = 1;
+  std::vector<std::vector<std::pair<double, double>>> lines;
+  for (const Way& way : ways) {
+    lines.push_back(line(way, pick));
+    for (auto [x, y] : lines.back()) most = std::max(most, y), end = std::max(end, x);
+  }
+  if (most <= 0) most = 1;
+  auto across = [&](double x) { return kLeft + x / end * (kWidth - kLeft - 8); };
+  auto up = [&](double y) { return kHeight - kBottom - y / most * (kHeight - kBottom - 10); };
+  std::string svg =
+      fmt::format("<svg viewBox=\"0 0 {} {}\" width=\"{}\" role=\"img\">", kWidth, kHeight, kWidth);
+  for (int i = 0; i <= 4; ++i) {
+    double y = most * i / 4, x = end * i / 4;
+    svg += fmt::format("<line x1=\"{}\" x2=\"{}\" y1=\"{:.1f}\" y2=\"{:.1f}\" stroke=\"#ddd\"/>", kLeft,
+                       kWidth - 8, up(y), up(y));
+    svg +=
+        fmt::format("<text x=\"{}\" y=\"{:.1f}\" text-anchor=\"end\">{:.3g}</text>", kLeft - 6, up(y) + 4, y);
+    svg += fmt::format("<text x=\"{:.1f}\" y=\"{}\" text-anchor=\"middle\">{:.0f} s</text>", across(x),
+                       kHeight - 8, x);
+  }
+  for (std::size_t w = 0; w < lines.size(); ++w) {
+    svg += fmt::format("<polyline fill=\"none\" stroke-width=\"2\" stroke=\"{}\" points=\"", kColours[w % 6]);
+    for (auto [x, y] : lines[w]) svg += fmt::format("{:.1f},{:.1f} ", across(x), up(y));
+    svg += "\"/>";
+  }
+  return svg + "</svg>";
+}
+
+double figure(const Result& result, const std::string& name) {
+  auto it = result.figures.find(name);
+  return it == result.figures.end() ? 0 : it->second;
+}
+
+data rows(const std::vector<Way>& ways, const std::vector<std::string>& figures) {
+  data all{data::type::list};
+  for (const std::string& name : figures) {
+    data cells{data::type::list};
+    for (const Way& way : ways) {
+      std::vector<double> values, differences;
+      for (std::size_t i = 0; i < way.results.size(); ++i) {
+        values.push_back(figure(way.results[i], name));
+        differences.push_back(values.back() - figure(ways.front().results[i], name));
+      }
+      Estimate own = estimate(values), other = estimate(differences);
+      data cell{data::type::object};
+      cell.set("mean", fmt::format("{:.5g}", own.mean));
+      if (&way != &ways.front()) {
+        data difference{data::type::object};
+        difference.set("text", fmt::format("{:+.4g} \u00b1 {:.2g}", other.mean, other.half));
+        difference.set("apart", data{other.apart() ? data::type::bool_true : data::type::bool_false});
+        cell.set("difference", difference);
+      }
+      cells.push_back(cell);
+    }
+    data row{data::type::object};
+    row.set("name", name);
+    row.set("cells", cells);
+    all.push_back(row);
+  }
+  return all;
+}
+
+data verdicts(const std::vector<Way>& ways) {
+  data all{data::type::list};
+  for (const Way& way : ways)
+    for (std::size_t v = 0; v < way.results.front().verdicts.size(); ++v) {
+      auto held = std::count_if(way.results.begin(), way.results.end(),
+                                [&](const Result& r) { return r.verdicts[v].holds; });
+      data row{data::type::object};
+      row.set("way", way.name);
+      row.set("text", way.results.front().verdicts[v].expected);
+      row.set("held", std::to_string(held));
+      row.set("all", std::to_string(way.results.size()));
+      bool bad = held != static_cast<std::ptrdiff_t>(way.results.size());
+      row.set("bad", data{bad ? data::type::bool_true : data::type::bool_false});
+      all.push_back(row);
+    }
+  return all;
+}
+
+}  // namespace
+
+std::string page(const std::string& title, const std::vector<Way>& ways,
+                 const std::vector<std::string>& figures) {
+  data names{data::type::list}, plots{data::type::list};
+  for (std::size_t w = 0; w < ways.size(); ++w) {
+    data way{data::type::object};
+    way.set("name", ways[w].name);
+    way.set("colour", kColours[w % 6]);
+    names.push_back(way);
+  }
+  const std::pair<const char*, Pick> shown[] = {
+      {"Gap: highest less lowest load a capacity", [](const Result::Moment& m) { return m.gap; }},
+      {"Load of the fullest worker", [](const Result::Moment& m) { return m.highest; }},
+      {"Moves for balance in 10 s", [](const Result::Moment& m) { return m.moves; }},
+      {"Session store calls in 10 s", [](const Result::Moment& m) { return m.store_calls; }},
+      {"Connections that stand", [](const Result::Moment& m) { return m.connections; }}};
+  for (const auto& [name, pick] : shown) {
+    data one{data::type::object};
+    one.set("name", name);
+    one.set("svg", plot(ways, pick));
+    plots.push_back(one);
+  }
+  data all{data::type::object};
+  all.set("title", title);
+  all.set("seeds", std::to_string(ways.front().results.size()));
+  all.set("ways", names);
+  all.set("rows", rows(ways, figures));
+  all.set("plots", plots);
+  all.set("verdicts", verdicts(ways));
+  mustache form(kTemplate);
+  return form.render(all);
+}
+
+}  // namespace marblehub::model
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -86,8 +86,8 @@
 }
 
 // Whoever has asked goes before those who only hold a descriptor, and of these the newest: a client that has
-// something to ask does so at once. On accepting, the newest of all stays: its first line may come a moment after
-// its connection, and nobody has come yet for whom it would have to give way.
+// something to ask does so at once. On accepting, the newest of all stays: its first line may come a moment
+// after its connection, and nobody has come yet for whom it would have to give way.
 void Listener::make_room(std::size_t staying) {
   while (room_.scarce() && asking_.size() > staying) asking_.front()->make_way();
 }
--- /dev/null
+++ b/src/rebalance/driver.cpp
@@ -0,0 +1,104 @@
+#include "rebalance/driver.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+#include "log/log.h"
+
+namespace marblehub::rebalance {
+namespace {
+
+Fleet fleet_of(const lemonspread::Settings& settings, std::uint64_t seed) {
+  return {settings.balancers, settings.me, settings.cold_share, settings.warm_within_us, seed};
+}
+
+}  // namespace
+
+Counters::Counters(metrics::Registry& metrics)
+    : moved(metrics.counter("marblehub_rebalance_moves_total", "Clients told to move for balance")),
+      planned(metrics.counter("marblehub_rebalance_planned_total",
+                              "Moves for balance that were planned, carried out or not")),
+      gap(metrics.gauge("marblehub_rebalance_gap", "Highest less lowest load a capacity")),
+      highest(metrics.gauge("marblehub_rebalance_highest_load", "Load a capacity of the fullest worker")),
+      mean(metrics.gauge("marblehub_rebalance_mean_load", "Load a capacity of all workers seen")),
+      paused(
+          metrics.gauge("marblehub_rebalance_paused", "Whether an operator has paused moves for balance")) {
+  for (int i = 0; i < kStills; ++i)
+    seconds.push_back(&metrics.counter("marblehub_rebalance_seconds_total",
+                                       "Time in which moves for balance were made, or why they were not",
+                                       {{"state", name_of(static_cast<Still>(i))}}));
+}
+
+Driver::Driver(const Settings& settings, core::Dispatcher& dispatcher, std::uint64_t seed, Counters& counters)
+    : settings_(settings),
+      dispatcher_(dispatcher),
+      planner_(settings, fleet_of(dispatcher.settings(), seed), dispatcher.now()),
+      stepped_at_(dispatcher.now()),
+      counters_(counters) {
+  dispatcher.watched_by(*this);
+}
+
+void Driver::follow(const Settings& settings) {
+  settings_ = settings;
+  planner_.follow(settings);
+}
+
+Plan Driver::step() {
+  core::Time now = dispatcher_.now();
+  Plan plan = planner_.plan(now);
+  counters_.seconds[static_cast<std::size_t>(plan.still)]->add(static_cast<double>(now - stepped_at_) / 1e6);
+  stepped_at_ = now;
+  if (plan.still != still_)
+    log::info("rebalancing: {}, gap {:.2f}, mean load {:.2f}", name_of(plan.still), planner_.gap(),
+              planner_.mean());
+  still_ = plan.still;
+  counters_.planned.add(static_cast<double>(plan.moves.size()));
+  counters_.gap.set(planner_.gap());
+  counters_.highest.set(planner_.highest());
+  counters_.mean.set(planner_.mean());
+  for (std::uint64_t id : plan.moves) {
+    log::debug("rebalancing: call {} {}", id, settings_.dry_run ? "would move" : "moves");
+    if (!settings_.dry_run && dispatcher_.move(id)) counters_.moved.add();
+  }
+  return plan;
+}
+
+void Driver::pause(bool on) {
+  if (on != planner_.paused()) log::info("rebalancing: {}", on ? "paused" : "resumed");
+  planner_.pause(on);
+  counters_.paused.set(on);
+}
+
+void Driver::stands(std::uint64_t id, const std::string& worker, const core::Call& call, bool found) {
+  planner_.stands(dispatcher_.now(), {id, worker, call.load_hint, call.group, call.returned, found});
+}
+
+void Driver::reported(const std::string& worker, double load) {
+  planner_.reported(dispatcher_.now(), worker, load);
+}
+
+// What a whole list does not name is gone.
+void Driver::members(const config::WorkerList& list) {
+  std::unordered_set<std::string> named;
+  for (const config::WorkerEntry& entry : list.workers) {
+    bool serving = entry.backend.health == lemonspread::Health::serving;
+    planner_.member(dispatcher_.now(),
+                    {entry.backend.address, entry.backend.scale, entry.backend.start_time, serving});
+    named.insert(entry.backend.address);
+    if (serving) serving_.push_back(entry.backend.address);
+  }
+  std::sort(serving_.begin(), serving_.end());
+  serving_.erase(std::unique(serving_.begin(), serving_.end()), serving_.end());
+  if (!list.snapshot) return;
+  std::erase_if(serving_, [&](const std::string& worker) {
+    if (named.count(worker)) return false;
+    planner_.member(dispatcher_.now(), {worker, 1, 0, false});
+    return true;
+  });
+}
+
+void Driver::answered(bool refused) { planner_.answered(dispatcher_.now(), refused); }
+
+void Driver::told_to_move() { planner_.told_to_move(dispatcher_.now()); }
+
+}  // namespace marblehub::rebalance
--- /dev/null
+++ b/src/rebalance/settings.cpp
@@ -0,0 +1,58 @@
+#include "rebalance/settings.h"
+
+#include <algorithm>
+
+namespace marblehub::rebalance {
+namespace {
+
+using config::Options;
+
+Time seconds(const Options& options, const char* key, double least, Time absent) {
+  return static_cast<Time>(options.number_or(key, least, static_cast<double>(absent) / 1e6) * 1e6);
+}
+
+double share(const Options& options, const char* key, double least, double absent) {
+  double value = options.number_or(key, least, absent);
+  if (value > 1) options.refuse(key, "a share from 0 to 1");
+  return value;
+}
+
+// hh:mm, as a minute of the day.
+int minute(const Options& options, const char* key) {
+  const std::string& text = options.text(key);
+  auto hours = text.size() == 5 && text[2] == ':' ? config::number_in<int>(text.substr(0, 2)) : std::nullopt;
+  auto minutes = hours ? config::number_in<int>(text.substr(3)) : std::nullopt;
+  if (!minutes || *hours < 0 || *hours > 23 || *minutes < 0 || *minutes > 59)
+    options.refuse(key, "a time of day as hh:mm, UTC");
+  return *hours * 60 + *minutes;
+}
+
+}  // namespace
+
+Settings settings_from(const Options& options) {
+  Settings s;
+  if (options.find("enabled")) s.enabled = options.flag("enabled");
+  if (options.find("dry_run")) s.dry_run = options.flag("dry_run");
+  s.moves_a_minute = options.number_or("moves_a_minute", 0.0, s.moves_a_minute);
+  s.fleet_a_minute = options.number_or("fleet_moves_a_minute", 0.0, s.fleet_a_minute);
+  s.gap = share(options, "gap", 0.01, s.gap);
+  s.floor = seconds(options, "floor_s", 0, s.floor);
+  s.settle = seconds(options, "settle_s", 0, s.settle);
+  s.half = seconds(options, "half_s", 5, s.half);
+  if (options.find("quiet_from")) s.quiet_from = minute(options, "quiet_from");
+  if (options.find("quiet_to")) s.quiet_to = minute(options, "quiet_to");
+  if ((s.quiet_from < 0) != (s.quiet_to < 0))
+    options.refuse(s.quiet_from < 0 ? "quiet_from" : "quiet_to", "both or neither");
+  s.price = options.number_or("price", 0.0, s.price);
+  s.store_a_minute = options.number_or("store_calls_a_minute", 0.0, s.store_a_minute);
+  s.stale = seconds(options, "stale_s", 1, s.stale);
+  s.refusals = share(options, "refusals", 0.001, s.refusals);
+  s.overload = share(options, "overload", 0.1, s.overload);
+  s.patience = seconds(options, "patience_s", 10, s.patience);
+  if (options.find("pause_file")) s.pause_file = options.text("pause_file");
+  std::vector<std::string> unread = options.unread();
+  if (!unread.empty()) options.refuse(unread.front(), "no such key");
+  return s;
+}
+
+}  // namespace marblehub::rebalance
--- a/src/state.h
+++ b/src/state.h
@@ -1,6 +1,7 @@
-// What the module remembers: types only, no decision.
+// What the module remembers and how it keeps count: no decision.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <vector>
@@ -21,6 +22,24 @@
   void add(double more, Time now, Time memory) { set(at(now, memory) + more, now); }
 };
 
+struct Request {
+  int request_class = 0;
+  Time deadline = 0;
+  std::uint64_t group = 0;
+  double load = 1;  // in usual connections
+  int attempts = 0;
+  int backend = -1;       // of the latest attempt
+  Time sent_at = 0;       // of the latest attempt
+  bool out = false;       // the latest attempt has no result yet
+  bool counted = false;   // it is in its backend's active count
+  bool open = false;      // the connection stands
+  bool returned = false;  // its client came back after a break or a move
+  bool answered = false;  // nothing more is owed or sent
+  Time ran_at = -1;       // when the first attempt that may have run was sent; -1: none may have
+  int ran_on = -1;
+  std::vector<int> tried;
+};
+
 struct Backend {
   std::string address, zone;
   std::uint64_t hash = 0;  // of the address: the same at every relay
@@ -50,24 +69,27 @@
   Faded evidence;    // ms that a message is said to take here
   Faded report;      // the same from the last load report
   double level = 0;  // load over capacity: as last reported, and what was sent here since
-};
 
-struct Request {
-  int request_class = 0;
-  Time deadline = 0;
-  std::uint64_t group = 0;
-  double load = 1;  // in usual connections
-  int attempts = 0;
-  int backend = -1;       // of the latest attempt
-  Time sent_at = 0;       // of the latest attempt
-  bool out = false;       // the latest attempt has no result yet
-  bool counted = false;   // it is in its backend's active count
-  bool open = false;      // the connection stands
-  bool returned = false;  // its client came back after a break or a move
-  bool answered = false;  // nothing more is owed or sent
-  Time ran_at = -1;       // when the first attempt that may have run was sent; -1: none may have
-  int ran_on = -1;
-  std::vector<int> tried;
+  // One more connection that is accepted here, and one less.
+  void count(Request& r) {
+    r.counted = true;
+    active += 1;
+    load += r.load;
+  }
+  void uncount(Request& r) {
+    if (!r.counted) return;
+    r.counted = false;
+    active -= 1;
+    load = active > 0 ? std::max(0.0, load - r.load) : 0;
+  }
+
+  // One more timing, of which the last `window` are kept.
+  void timed(double ms, std::size_t window) {
+    if (timings.size() < window) timings.push_back(0);
+    timings[timing_at++ % window] = ms;
+    latency = 0;
+    for (double t : timings) latency += t / static_cast<double>(timings.size());
+  }
 };
 
 }  // namespace lemonspread
--- a/tools/application.cpp
+++ b/tools/application.cpp
@@ -8,6 +8,7 @@
 #include "metrics/remote_write.h"
 #include "net/stream.h"
 #include "quic/settings.h"
+#include "rebalance/settings.h"
 
 namespace marblehub::config {
 
@@ -32,6 +33,7 @@
   "limits": {{"sockets": 4096}},       // file descriptors it may hold
   "quic": "deploy/quic.json",        // the second front; off unless that file enables it
   "remote_write": "deploy/remote_write.json",  // metrics; off unless that file enables it
+  "rebalance": "deploy/rebalance.json",  // moves of standing connections towards balance; the same
 
   // The workers as last known. They replace nothing that the registry tells.
   "known": {{"index": 0, "snapshot": true, "endpoints": []}},
@@ -85,8 +87,9 @@
 
 void check_start(const Options& options, const std::string& folder, Findings& findings) {
   Startup startup = startup_from(options);
-  for (const auto& [name, kind] :
-       {std::pair(startup.quic_file, FileKind::quic), {startup.remote_write_file, FileKind::remote_write}}) {
+  for (const auto& [name, kind] : {std::pair(startup.quic_file, FileKind::quic),
+                                   {startup.remote_write_file, FileKind::remote_write},
+                                   {startup.rebalance_file, FileKind::rebalance}}) {
     std::filesystem::path path = std::filesystem::path(folder) / name;  // an absolute name stands for itself
     auto text = read_file(path);
     if (!text) {
@@ -109,6 +112,7 @@
     if (kind == FileKind::start) check_start(options, folder, findings);
     if (kind == FileKind::quic) quic::quic_settings_from(options, folder);
     if (kind == FileKind::remote_write) metrics::remote_write_settings_from(options);
+    if (kind == FileKind::rebalance) rebalance::settings_from(options);
     for (const std::string& key : options.unread())
       findings.warnings.push_back(fmt::format("{}: not a key that is read here", key));
   } catch (const DecodeError& error) {
