--- a/src/rebalance/driver.cpp
+++ b/src/rebalance/driver.cpp
@@ -8,6 +8,8 @@
 namespace marblehub::rebalance {
 namespace {
 
+constexpr core::Time kSaid = 10'000'000;  // between two lines of the log about its state
+
 Fleet fleet_of(const lemonspread::Settings& settings, std::uint64_t seed) {
   return {settings.balancers, settings.me, settings.cold_share, settings.warm_within_us, seed};
 }
@@ -48,10 +50,13 @@
   Plan plan = planner_.plan(now);
   counters_.seconds[static_cast<std::size_t>(plan.still)]->add(static_cast<double>(now - stepped_at_) / 1e6);
   stepped_at_ = now;
-  if (plan.still != still_)
+  // Near balance it comes and goes with every report: the counters tell that, the log need not.
+  if (plan.still != still_ && now - said_at_ >= kSaid) {
     log::info("rebalancing: {}, gap {:.2f}, mean load {:.2f}", name_of(plan.still), planner_.gap(),
               planner_.mean());
-  still_ = plan.still;
+    still_ = plan.still;
+    said_at_ = now;
+  }
   counters_.planned.add(static_cast<double>(plan.moves.size()));
   counters_.gap.set(planner_.gap());
   counters_.highest.set(planner_.highest());
--- a/src/rebalance/driver.h
+++ b/src/rebalance/driver.h
@@ -42,7 +42,7 @@
   core::Dispatcher& dispatcher_;
   Planner planner_;
   Still still_ = Still::starting;
-  core::Time stepped_at_ = 0;
+  core::Time stepped_at_ = 0, said_at_ = 0;
   Counters& counters_;
   std::vector<std::string> serving_;  // as the last whole list named them
 };
--- a/src/rebalance/planner.cpp
+++ b/src/rebalance/planner.cpp
@@ -333,7 +333,7 @@
   double part = 1 - std::exp2(-step * kSecond / static_cast<double>(settings_.half));
   double unit = work_a_level(view, now);
   std::size_t left = allowance(now);
-  bool due = false, gains = false, movable = false;
+  bool due = false, gains = false, barred = false;
   // A worker at a time, from a random one on: a limit that is soon spent must not always spare the last.
   std::size_t count = workers_.size(), from = count > 0 ? random_() % count : 0;
   for (std::size_t k = 0; k < count; ++k) {
@@ -358,9 +358,9 @@
       std::uint64_t id = choose(w, most_load, now);
       if (id == 0) {
         w.credit = std::min(w.credit, 1.0);
+        barred = true;
         break;
       }
-      movable = true;
       if (left == 0) {
         plan.still = Still::spent;
         return plan;
@@ -388,7 +388,7 @@
     plan.still = Still::balanced;
   else if (!gains)
     plan.still = Still::no_gain;
-  else if (plan.moves.empty() && !movable)
+  else if (plan.moves.empty() && barred)
     plan.still = Still::none_movable;
   return plan;
 }
