Let all threads of the model see a failure in the same window

A thread could see the failure of a quicker one within its window and leave while the others waited for it: the sanitizer run hung in the test of the lookahead. 200 runs of it pass now.

--- a/src/model/lanes.cpp
+++ b/src/model/lanes.cpp
@@ -122,9 +122,12 @@
       if (!lane->heap_.empty()) earliest = std::min(earliest, lane->heap_.front().when);
     }
     state.next[static_cast<std::size_t>(thread)].when = earliest;
+    // Looked at where nobody can set it: once all have met, a quick thread may fail before a slow one looks,
+    // and either all end here or none.
+    bool failed = state.failed.load();
     state.meeting.wait();
     for (const State::Next& next : state.next) earliest = std::min(earliest, next.when);
-    if (earliest >= end || state.failed.load()) return;
+    if (earliest >= end || failed) return;
     Time until = std::min(end, earliest + lookahead_);
     if (thread == 0) state.to_look = 0;  // nobody looks before all have met again
     try {
