--- a/src/rebalance/planner.cpp
+++ b/src/rebalance/planner.cpp
@@ -237,6 +237,8 @@
   if (watched_since_ < 0 || (rest_until_ >= 0 && now - last_plan_ > kMinute)) {
     watched_since_ = now, watched_gap_ = gap_, moved_since_ = 0;
   }
+  // A gap that opened after the watch began, as new workers report, is what the moves are measured by.
+  watched_gap_ = std::max(watched_gap_, gap_);
   if (now - watched_since_ < settings_.patience) return Still::acting;
   bool tried = moved_since_ > 0, narrowed = gap_ <= watched_gap_ * kNarrowed;
   watched_since_ = now, watched_gap_ = gap_, moved_since_ = 0;
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -228,6 +228,29 @@
   CHECK(table(ways, kFigures).find("without less with") != std::string::npos);
 }
 
+TEST_CASE(
+    "in steady load the gap narrows at every step of ten seconds, and to a quarter within three minutes") {
+  Quiet quiet;
+  Scenario s = scenario_in(MARBLEHUB_SOURCE "/scenarios/warm-evening.txt");
+  std::vector<Job> jobs;
+  for (std::uint64_t seed = 11; seed <= 13; ++seed) jobs.push_back({s, seed});
+  for (const Result& r : run_all(jobs, 2)) {
+    auto widest = std::max_element(r.moments.begin(), r.moments.end(),
+                                   [](const auto& a, const auto& b) { return a.gap < b.gap; });
+    auto quarter =
+        std::find_if(widest, r.moments.end(), [&](const auto& m) { return m.gap <= widest->gap / 4; });
+    INFO(r.text());
+    REQUIRE(quarter != r.moments.end());
+    CHECK(quarter->at - widest->at <= 180);
+    // From the second step on: in the first the new ones have only begun.
+    for (auto m = widest + 2; m <= quarter; ++m) CHECK(m->gap < (m - 1)->gap);
+    Scenario off = s;
+    off.rebalance.enabled = false;
+    Result still = run(off, {.seed = r.seed});
+    CHECK(still.moments[static_cast<std::size_t>(quarter - r.moments.begin())].gap > 2 * quarter->gap);
+  }
+}
+
 TEST_CASE("every scenario of the project comes out as it expects") {
   Quiet quiet;
 #ifdef __SANITIZE_ADDRESS__
--- a/tests/product_test.cpp
+++ b/tests/product_test.cpp
@@ -218,10 +218,56 @@
         std::string::npos);
   CHECK(code == 0);
   for (const char* own : {"--quic " MARBLEHUB_SOURCE "/deploy/quic.json",
-                          "--remote-write " MARBLEHUB_SOURCE "/deploy/remote_write.json"}) {
+                          "--remote-write " MARBLEHUB_SOURCE "/deploy/remote_write.json",
+                          "--rebalance " MARBLEHUB_SOURCE "/deploy/rebalance.json"}) {
     INFO(shell(tool + " check " + own, &code));
     CHECK(code == 0);
   }
+  std::ofstream(file) << R"({"enabled": true, "gap": 3})";
+  CHECK(shell(tool + " check --rebalance " + file, &code).find("gap: expected a share") != std::string::npos);
+  CHECK(code == 1);
+  std::remove(file.c_str());
+}
+
+TEST_CASE("moves for balance are off unless their file turns them on, and an operator pauses them") {
+  std::string file = "/tmp/marblehub-moves-" + std::to_string(getpid()) + ".json", pause = file + ".pause";
+  auto started = [&](const std::string& text) {
+    std::ofstream(file) << text;
+    return std::make_unique<Program>(json::array(), settings(), free_port(SOCK_STREAM), "/nonexistent",
+                                     "/nonexistent", 1024, file);
+  };
+  auto counted = [](Program& program, const std::string& name) {
+    program.signal(SIGUSR1);
+    usleep(100000);
+    return program.counter(name);
+  };
+  auto off = started(R"({"enabled": false})");
+  off->signal(SIGUSR2);  // nothing to pause, and no harm
+  usleep(1200000);
+  CHECK(counted(*off, "marblehub_rebalance_seconds_total{state=\"starting\"}") == 0);
+  CHECK(off->log().find("rebalancing is off") != std::string::npos);
+
+  auto on = started(R"({"enabled": true, "pause_file": ")" + pause + R"("})");
+  CHECK(on->log().find("rebalanced in a dry run") != std::string::npos);
+  usleep(1300000);
+  CHECK(counted(*on, "marblehub_rebalance_seconds_total{state=\"starting\"}") >= 0.9);
+  CHECK(counted(*on, "marblehub_rebalance_paused") == 0);
+  on->signal(SIGUSR2);
+  usleep(1300000);
+  CHECK(counted(*on, "marblehub_rebalance_paused") == 1);
+  CHECK(counted(*on, "marblehub_rebalance_seconds_total{state=\"paused\"}") >= 0.9);
+  on->signal(SIGUSR2);
+  usleep(1300000);
+  CHECK(counted(*on, "marblehub_rebalance_paused") == 0);
+  std::ofstream(pause) << "evening";
+  usleep(1300000);
+  CHECK(counted(*on, "marblehub_rebalance_paused") == 1);
+  std::remove(pause.c_str());
+  // Wrong settings on reload are refused with their key, and the old ones stay.
+  std::ofstream(file) << R"({"enabled": true, "gap": 3})";
+  on->signal(SIGHUP);
+  usleep(300000);
+  CHECK(on->log().find("gap: expected a share") != std::string::npos);
   std::remove(file.c_str());
 }
 
