--- a/conformance/suites.cpp
+++ b/conformance/suites.cpp
@@ -65,6 +65,20 @@
   return id;
 }
 
+// Sockets of ours in workers' places: the router is told that the workers are there now.
+void take_places(Stage& stage, std::initializer_list<std::pair<const char*, const Udp*>> places) {
+  stage.run(4500, [&] { return stage.registry.watched(); });
+  for (const auto& [worker, sink] : places) stage.registry.set(worker, sink->local().text(), "ready");
+  stage.run(400);
+}
+
+// What goes before a worker's answer to a datagram that came with this header.
+std::string header_back(const ProxyHeader& came) {
+  std::array<char, kLongestProxyHeader> out;
+  std::size_t size = write_proxy_header(out, {false, came.destination, came.source, {}, {}});
+  return std::string(out.data(), size);
+}
+
 bool up(Stage& stage, Client& client, int ms = 2500) {
   return stage.run(ms, [&] { return client.handshaken(); }) && !client.over();
 }
@@ -100,10 +114,7 @@
   // Two sockets of ours in the workers' places, which answer whatever they get.
   Stage stage({"g-1", "g-2"}, usual());
   Udp sinks[2];
-  stage.run(4500, [&] { return stage.registry.watched(); });
-  for (int i : {0, 1})
-    stage.registry.set(stage.worker(static_cast<std::size_t>(i)).name, sinks[i].local().text(), "ready");
-  stage.run(400);
+  take_places(stage, {{"g-1", &sinks[0]}, {"g-2", &sinks[1]}});
   Probe tuple(stage);
   std::size_t got[2] = {0, 0};
   for (int i = 0; i < 12; ++i) {
@@ -115,9 +126,7 @@
           auto header = take_proxy_header(bytes);
           if (!header) continue;
           got[s] += 1;
-          std::array<char, kLongestProxyHeader> out;
-          std::size_t size = write_proxy_header(out, {false, header->destination, header->source, {}, {}});
-          sinks[s].send(std::string(out.data(), size) + "\x40" + std::string(40, 'y'), came->from);
+          sinks[s].send(header_back(*header) + "\x40" + std::string(40, 'y'), came->from);
         }
       return false;
     });
@@ -345,9 +354,8 @@
     return o;
   }());
   Probe second(silent);
+  take_places(silent, {{"g-1", &sink}});
   auto seen_with = [&](const std::string& datagram) {
-    // Played through a socket of ours in the worker's place.
-    silent.registry.set("g-1", sink.local().text(), "ready");
     silent.run(300);
     while (sink.receive()) {
     }
@@ -362,7 +370,6 @@
     });
     return most;
   };
-  silent.run(4500, [&] { return silent.registry.watched(); });
   report.check("RFC 9000, 12.2", "a later coalesced packet with another id is dropped",
                seen_with(coalesced + foreign) == coalesced.size());
   std::string same_id = fresh_id(), first = bare_initial(same_id, "source");
@@ -552,9 +559,7 @@
                c.hop.octets_in > 0 && c.hop.octets_in <= 3 * 1200);
   // A worker that does not keep to it is held to it.
   Udp sink;
-  stage.run(4500, [&] { return stage.registry.watched(); });
-  stage.registry.set("g-1", sink.local().text(), "ready");
-  stage.run(300);
+  take_places(stage, {{"g-1", &sink}});
   Probe probe(stage);
   std::string id = fresh_id();
   probe.send(bare_initial(id, "source"));
@@ -564,12 +569,10 @@
   if (came) {
     std::string_view bytes = came->bytes;
     auto header = take_proxy_header(bytes);
-    std::array<char, kLongestProxyHeader> out;
-    std::size_t size = write_proxy_header(out, {false, header->destination, header->source, {}, {}});
     std::string worker_id =
         IdCodec({stage.options.worker.ids}).encode(2, stage.worker(0).server_id, "nonce!");
     for (std::uint32_t i = 0; i < 20; ++i)
-      sink.send(std::string(out.data(), size) +
+      sink.send(header_back(*header) +
                     seal_initial(initial_keys(id, true), "source", worker_id, i, std::string(1100, '\0')),
                 came->from);
     for (const std::string& packet : probe.answers(300, 1000)) got += packet.size();
@@ -588,9 +591,7 @@
     options.deadline_ms = 600;
     Stage stage({"g-1"}, options);
     Udp sink;
-    stage.run(4500, [&] { return stage.registry.watched(); });
-    stage.registry.set("g-1", sink.local().text(), "ready");
-    stage.run(300);
+    take_places(stage, {{"g-1", &sink}});
     Probe probe(stage);
     std::string id = fresh_id();
     probe.send(bare_initial(id, "source"));
@@ -611,10 +612,7 @@
                      std::string(100, '\0'));
     std::string_view bytes = came->bytes;
     std::string head;
-    if (auto header = proxy ? take_proxy_header(bytes) : std::nullopt) {
-      std::array<char, kLongestProxyHeader> out;
-      head.assign(out.data(), write_proxy_header(out, {false, header->destination, header->source, {}, {}}));
-    }
+    if (auto header = proxy ? take_proxy_header(bytes) : std::nullopt) head = header_back(*header);
     sink.send(head + reply, came->from);
     report.check("PROTOCOL, answers", "what it says after that reaches nobody" + way, !probe.answer(300));
   }
--- a/src/config/options.h
+++ b/src/config/options.h
@@ -66,6 +66,11 @@
   Number number_or(std::string_view key, Number least, Number absent) const {
     return find(key) ? number<Number>(key, least) : absent;
   }
+  double share_or(std::string_view key, double least, double absent) const {
+    double value = number_or(key, least, absent);
+    if (value > 1) refuse(key, "a share from 0 to 1");
+    return value;
+  }
   bool flag(std::string_view key) const {
     const std::string& value = text(key);
     if (value != "true" && value != "false") refuse(key, "true or false");
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -68,7 +68,6 @@
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
   timers_.push({now() + kWatchEvery, Due::watch});
-  startup_list_ = startup.known;
   tell_list(ListForm::remembered, startup.known);
 }
 
@@ -87,38 +86,36 @@
 
 // ---- Calls ---------------------------------------------------------------------------------------
 
-Exchange& Dispatcher::take(Call call, ClientSide& client, WorkerSide& workers) {
+Exchange& Dispatcher::enter(Call call, ClientSide& client, WorkerSide& workers) {
   std::uint64_t id = next_id_++;
   auto made = std::make_unique<Exchange>(*this, id, std::move(call), client, workers, now());
-  Exchange& exchange = *made;
-  calls_.emplace(id, std::move(made));
+  return *calls_.emplace(id, std::move(made)).first->second;
+}
+
+Exchange& Dispatcher::take(Call call, ClientSide& client, WorkerSide& workers) {
+  Exchange& exchange = enter(std::move(call), client, workers);
   unanswered_ += 1;
   taken_.add();
   if (!exchange.call().handed_to.empty() && !address_of(exchange.call().handed_to).empty()) {
     hand_over(exchange);
     return exchange;
   }
-  timers_.push({exchange.deadline_, Due::deadline, id});
-  const Call& c = exchange.call();
-  tell(RequestEvent{id, c.request_class, c.expires_in, c.load_hint, c.returned, c.group});
+  timers_.push({exchange.deadline_, Due::deadline, exchange.id_});
+  tell(request_of(exchange));
   return exchange;
 }
 
 Exchange& Dispatcher::adopt(Call call, ClientSide& client, WorkerSide& workers, const std::string& worker,
                             std::unique_ptr<Delegation> delegation, bool past_known) {
-  std::uint64_t id = next_id_++;
-  auto made = std::make_unique<Exchange>(*this, id, std::move(call), client, workers, now());
-  Exchange& exchange = *made;
-  calls_.emplace(id, std::move(made));
+  Exchange& exchange = enter(std::move(call), client, workers);
   adopted_.add();
   exchange.state_ = Exchange::State::standing;
   exchange.worker_ = worker;
   exchange.sent_at_ = now();
   exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
   exchange.delegation_ = std::move(delegation);
-  const Call& c = exchange.call();
-  if (watch_) watch_->stands(id, worker, c, !past_known);
-  tell(HandoverEvent{{id, c.request_class, c.expires_in, c.load_hint, c.returned, c.group}, worker});
+  if (watch_) watch_->stands(exchange.id_, worker, exchange.call(), !past_known);
+  tell(HandoverEvent{request_of(exchange), worker});
   return exchange;
 }
 
@@ -169,14 +166,17 @@
   int attempt = exchange.attempts_ - 1;
   if (exchange.handed_tries_ > 0) {
     exchange.attempts_ = 1;  // to the module it is the attempt that stood at the start
-    const Call& c = exchange.call();
-    tell(HandoverEvent{{exchange.id_, c.request_class, c.expires_in, c.load_hint, c.returned, c.group},
-                       exchange.worker_});
+    tell(HandoverEvent{request_of(exchange), exchange.worker_});
     return;
   }
   tell(EstablishedEvent{exchange.id_, attempt, now() - exchange.sent_at_});
 }
 
+RequestEvent Dispatcher::request_of(const Exchange& exchange) const {
+  const Call& c = exchange.call();
+  return {exchange.id_, c.request_class, c.expires_in, c.load_hint, c.returned, c.group};
+}
+
 ResultEvent Dispatcher::result_of(const Exchange& exchange, Outcome outcome, const LoadReport& report,
                                   bool terminal) const {
   return {
@@ -314,11 +314,6 @@
 
 // ---- A planner's part --------------------------------------------------------------------------------
 
-void Dispatcher::watched_by(StandingWatch& watch) {
-  watch_ = &watch;
-  watch.members(startup_list_);
-}
-
 bool Dispatcher::move(std::uint64_t id) {
   Exchange* exchange = find(id);
   if (!exchange || exchange->state_ != Exchange::State::standing || exchange->moving_) return false;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -40,7 +40,7 @@
 
   // ---- For a planner of moves: who watches, and the one way to move a standing connection. False where
   // there is none by that number, or it is being moved already.
-  void watched_by(StandingWatch& watch);
+  void watched_by(StandingWatch& watch) { watch_ = &watch; }
   bool move(std::uint64_t id);
 
   // ---- Time. next_due is the earliest moment at which advance has something to do.
@@ -89,6 +89,7 @@
   void redirected(Exchange& exchange);
   void has_open_business(Exchange& exchange) { busy_.insert(exchange.id_); }
 
+  Exchange& enter(Call call, ClientSide& client, WorkerSide& workers);
   std::string address_of(const std::string& worker) const;  // empty: unknown
   void learn(const config::WorkerList& list);
   void tell_list(lemonspread::ListForm form, const config::WorkerList& list);
@@ -103,6 +104,7 @@
   void watch_standing();
   void answer(Exchange& exchange, Answer answer, Time pause, std::string_view words);
   void answer_and_close(Exchange& exchange, Answer answer, Time pause);
+  lemonspread::RequestEvent request_of(const Exchange& exchange) const;
   lemonspread::ResultEvent result_of(const Exchange& exchange, Outcome outcome, const LoadReport& report,
                                      bool terminal) const;
   void close(Exchange& exchange);
@@ -121,7 +123,6 @@
   // have, and only these are looked at five times a second.
   std::set<std::uint64_t> busy_;
   StandingWatch* watch_ = nullptr;
-  config::WorkerList startup_list_;  // what a watcher is told first
   std::unordered_map<std::string, Pace> paces_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::deque<lemonspread::Event> events_;
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -27,14 +27,13 @@
   Exchange(Dispatcher& dispatcher, std::uint64_t id, Call call, ClientSide& client, WorkerSide& workers,
            Time now);
 
+  std::uint64_t id() const { return id_; }
   const Call& call() const { return call_; }
 
   // ---- From the client's side. After client_left the exchange calls it no more.
   void client_sent(const Piece& piece);
   void client_left(Ending ending);
   void client_full(bool on);  // the client takes no more for now
-  // By an operator's hand: told to come again as soon as its stream stands between two messages.
-  void move() { redirect(); }
 
   // ---- From the worker's side.
   bool may_begin() const;  // whether the worker may still be sent something new
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -384,12 +384,8 @@
 
   // ---- Cold ramp ---------------------------------------------------------------------------------
 
-  // The part of its capacity that a backend surely has: from the cold share evenly to the whole.
   double warmth(const Backend& b) const {
-    if (b.cold_since == 0 || settings.warm_within_us <= 0) return 1;
-    double part = static_cast<double>(now - b.cold_since) / static_cast<double>(settings.warm_within_us);
-    if (part >= 1) return 1;
-    return settings.cold_share + (1 - settings.cold_share) * std::max(0.0, part);
+    return warm_part(b.cold_since, now, settings.cold_share, settings.warm_within_us);
   }
 
   bool spent(const Backend& b) const { return warmth(b) < 1 && b.cold_tokens <= 0; }
@@ -629,9 +625,11 @@
     refill_cold_tokens();
     adapt_admission();
     probe_due_backends();
-    if (std::any_of(backends.begin(), backends.end(), [this](const Backend& b) { return troubled(b); }))
+    std::vector<char> in_trouble;
+    for (const Backend& b : backends) in_trouble.push_back(troubled(b));
+    if (std::find(in_trouble.begin(), in_trouble.end(), 1) != in_trouble.end())
       for (auto& [id, r] : requests)
-        if (r.open && !r.answered && troubled(backends[r.backend]) && leaves(r))
+        if (r.open && !r.answered && in_trouble[r.backend] && leaves(r))
           actions->push_back(Redirect{id}), r.answered = true;
     std::vector<std::uint64_t> ids(waiting.begin(), waiting.end());
     for (std::uint64_t id : ids) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -126,7 +126,7 @@
     auto settings = rebalance_settings(startup_);
     if (!settings) return nullptr;
     log::info("standing connections are {}", settings->dry_run ? "rebalanced in a dry run" : "rebalanced");
-    return std::make_unique<rebalance::Driver>(*settings, dispatcher_, startup_.seed, rebalance_counters_);
+    return std::make_unique<rebalance::Driver>(*settings, dispatcher_, startup_, rebalance_counters_);
   }
 
   void plan_moves() {
--- a/src/model/fleet.cpp
+++ b/src/model/fleet.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint32_t kWorkerLanes = 16;
+constexpr std::uint32_t kFirstStanding = 0xff000000;  // number of the first client that stands at the start
 
 // What a set-up took, in steps of 5 per cent from 1 ms to 100 s; what is outside counts as at the ends.
 double quantile(const std::vector<float>& values, double part) {
@@ -29,6 +30,10 @@
   Fleet(const Scenario& scenario, const RunOptions& options)
       : scenario_(scenario), options_(options), lanes_(scenario.hop, options.threads), store_(scenario) {
     places_.store = lanes_.add(store_);
+    for (int i = 0; i < scenario.workers(); ++i) {
+      places_.names.push_back(scenario.name_of(i));
+      places_.numbers.emplace(places_.names.back(), i);
+    }
     for (int i = 0; i < scenario.balancers; ++i) {
       hosts_.push_back(
           std::make_unique<Host>(scenario_, places_, static_cast<std::uint32_t>(i), options.seed));
@@ -41,7 +46,7 @@
     }
     for (int i = 0; i < scenario.workers(); ++i) {
       workers_.push_back(std::make_unique<Worker>(scenario_, i, options.seed));
-      WorkerLane& lane = *worker_lanes_[static_cast<std::size_t>(i) % lanes];
+      WorkerLane& lane = lane_of(i);
       lane.take(*workers_.back());
       places_.workers.push_back(lane.number());
     }
@@ -60,6 +65,10 @@
   }
 
  private:
+  WorkerLane& lane_of(int worker) {
+    return *worker_lanes_[static_cast<std::size_t>(worker) % worker_lanes_.size()];
+  }
+
   // The connections that stand at the beginning: spread as the scales tell, or all on one kind.
   void place() {
     std::vector<double> until;
@@ -73,8 +82,9 @@
     // are at those whose sample it is in.
     std::vector<int> order(workers_.size());
     for (std::size_t i = 0; i < order.size(); ++i) order[i] = static_cast<int>(i);
-    std::sort(order.begin(), order.end(),
-              [&](int a, int b) { return scenario_.name_of(a) < scenario_.name_of(b); });
+    std::sort(order.begin(), order.end(), [&](int a, int b) {
+      return places_.names[static_cast<std::size_t>(a)] < places_.names[static_cast<std::size_t>(b)];
+    });
     std::erase_if(order, [&](int i) { return scenario_.kind_of(i).from > 0; });
     std::vector<std::vector<std::size_t>> at(workers_.size());
     double part = std::max(12.0 / static_cast<double>(order.size()), 8.0 / scenario_.balancers);
@@ -86,18 +96,7 @@
       }
     Stream placing(options_.seed, Purpose::placing, 0);
     for (int n = 0; n < scenario_.standing && all > 0; ++n) {
-      Client client;
-      client.id = 0xff000000u + static_cast<std::uint32_t>(n);
-      Stream own(options_.seed, Purpose::client, client.id);
-      client.load = static_cast<float>(scenario_.load * own.lognormal(scenario_.spread));
-      if (own.uniform() < scenario_.heavy_share) client.load *= static_cast<float>(scenario_.heavy_times);
-      client.quic = own.uniform() < scenario_.quic_share;
-      double group = own.uniform();
-      std::uint64_t small = static_cast<std::uint64_t>(std::max(1, scenario_.groups - 1));
-      if (scenario_.groups > 0)
-        client.group = group < scenario_.big_group ? 1 : 2 + static_cast<std::uint32_t>(own.below(small));
-      client.until = static_cast<Time>(own.exponential(scenario_.stay) * 1e6);
-      client.draws = own.count();
+      Client client = new_client(scenario_, options_.seed, kFirstStanding + static_cast<std::uint32_t>(n), 0);
       double drawn = placing.uniform() * all;
       int worker = static_cast<int>(std::upper_bound(until.begin(), until.end(), drawn) - until.begin());
       const std::vector<std::size_t>& near = at[static_cast<std::size_t>(worker)];
@@ -106,8 +105,7 @@
                        ? *hosts_[static_cast<std::size_t>(which * static_cast<double>(hosts_.size()))]
                        : *hosts_[near[static_cast<std::size_t>(which * static_cast<double>(near.size()))]];
       std::uint64_t key = host.stands_already(client, worker);
-      worker_lanes_[static_cast<std::size_t>(worker) % worker_lanes_.size()]->stands_already(worker, key,
-                                                                                             client);
+      lane_of(worker).stands_already(worker, key, client);
     }
   }
 
@@ -185,9 +183,8 @@
     double one_limit = scenario_.rebalance.moves_a_minute, fleet_limit = scenario_.rebalance.fleet_a_minute;
     for (auto& host : hosts_) {
       const HostFigures& f = host->figures();
-      all.calls += f.calls, all.established += f.established, all.refused += f.refused,
-          all.failed += f.failed;
-      all.gave_up += f.gave_up, all.told += f.told, all.returned += f.returned, all.lost += f.lost;
+      all.calls += f.calls, all.refused += f.refused, all.failed += f.failed;
+      all.gave_up += f.gave_up, all.told += f.told, all.lost += f.lost;
       all.planned += f.planned;
       all.wanted += f.wanted, all.without += f.without;
       for (std::size_t i = 0; i < f.seconds.size(); ++i) all.seconds[i] += f.seconds[i];
@@ -206,8 +203,7 @@
     Worker::Figures w;
     for (auto& worker : workers_) {
       const Worker::Figures& f = worker->figures();
-      w.served += f.served, w.connected += f.connected, w.set_ups += f.set_ups, w.refused += f.refused;
-      w.cut += f.cut, w.fell += f.fell, w.fell_cold += f.fell_cold;
+      w.served += f.served, w.cut += f.cut, w.fell += f.fell, w.fell_cold += f.fell_cold;
       for (int i = 0; i < f.fell_cold; ++i)
         r.rules.broken(Rule::cold_fell, 0, "a cold worker was pushed over");
     }
@@ -291,6 +287,11 @@
 
 }  // namespace
 
+double Result::figure(const std::string& name) const {
+  auto it = figures.find(name);
+  return it == figures.end() ? 0 : it->second;
+}
+
 bool Result::good() const {
   return rules.all() == 0 &&
          std::all_of(verdicts.begin(), verdicts.end(), [](const Verdict& v) { return v.holds; });
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -30,6 +30,7 @@
   std::vector<Verdict> verdicts;
   std::string log;  // of the events, where one was asked for
 
+  double figure(const std::string& name) const;  // 0 where there is none by that name
   bool good() const;
   std::string text() const;  // the same bytes for the same scenario and seed
 };
--- a/src/model/host.cpp
+++ b/src/model/host.cpp
@@ -43,37 +43,31 @@
   void redirect() override;
   void ended(core::Ending) override;
   void final_answer();
+  void stand();  // takes its place at its worker, until its wish is over
   void leave_worker();
 };
 
 // The delegation. Its end, whatever the reason, is told to the worker: its connection is closed.
 class Host::Attempt : public core::Delegation {
  public:
-  Attempt(Seat& seat, core::Exchange& exchange, int worker)
-      : seat_(seat), exchange_(exchange), worker_(worker), key_(seat.key()) {
-    seat.attempt = this;
-  }
+  Attempt(Seat& seat, int worker) : seat_(seat), worker_(worker), key_(seat.key()) { seat.attempt = this; }
   ~Attempt() override {
     if (seat_.attempt == this) seat_.attempt = nullptr;
     // A QUIC client goes when its worker has moved it; its seat sees to that.
-    if (told_ && !ended_ && !seat_.moving) seat_.host->send_worker(What::gone, worker_, key_, nullptr);
+    if (!ended_ && !seat_.moving) seat_.host->send_worker(What::gone, worker_, key_, nullptr);
   }
   void deliver(std::string_view) override { seat_.host->send_worker(What::message, worker_, key_, nullptr); }
   void hold(bool) override {}
   void finish(core::Ending) override {}
 
-  core::Exchange& exchange() { return exchange_; }
   std::uint64_t key() const { return key_; }
-  int worker() const { return worker_; }
-  void told() { told_ = true; }
   void ended() { ended_ = true; }
 
  private:
   Seat& seat_;
-  core::Exchange& exchange_;
   const int worker_;
   const std::uint64_t key_;
-  bool told_ = false, ended_ = false;
+  bool ended_ = false;
 };
 
 class Host::Net : public core::WorkerSide {
@@ -82,18 +76,17 @@
   std::unique_ptr<core::Delegation> delegate(core::Exchange& exchange, const std::string& worker,
                                              const std::string&, Time) override {
     Seat& seat = *host_.seat_of(std::stoull(exchange.call().opening));
-    int number = host_.worker_named(worker);
+    int number = host_.places_.numbers.at(worker);
     seat.attempts += 1;
     seat.worker = number;
     if (seat.attempt) host_.rules_.broken(Rule::one_at_a_time, host_.now(), worker);
     if (seat.attempts > host_.scenario_.attempts)
       host_.rules_.broken(Rule::four_attempts, host_.now(), worker);
-    auto attempt = std::make_unique<Attempt>(seat, exchange, number);
+    auto attempt = std::make_unique<Attempt>(seat, number);
     const Known& known = host_.known_[static_cast<std::size_t>(number)];
     if (known.leaving && host_.now() - known.told > kDrainBound)
       host_.rules_.broken(Rule::drained, host_.now(), worker);
     host_.note("tries", seat, worker);
-    attempt->told();
     host_.send_worker(What::setup, number, attempt->key(), &seat.client);
     return attempt;
   }
@@ -114,27 +107,29 @@
 void Host::Seat::established(std::string_view) {
   final_answer();
   Time at = host->now();
-  host->figures_.established += 1;
   if (host->figures_.set_up_ms.size() < kSampled)
     host->figures_.set_up_ms.push_back(static_cast<float>(at - asked_at) / kMillisecond);
-  host->figures_.wanted += static_cast<double>(at - client.wanting_since) / 1e6;
-  host->figures_.without += static_cast<double>(at - client.wanting_since) / 1e6;
+  host->figures_.went_without(client, at);
   client.wanting_since = at;
   client.tries = 0;
+  host->note("stands", *this, host->name(worker));
+  stand();
+}
+
+void Host::Seat::stand() {
   stands = true;
   Known& there = host->known_[static_cast<std::size_t>(worker)];
   place = there.seats.size();
   there.seats.push_back(slot);
-  host->note("stands", *this, host->names_[static_cast<std::size_t>(worker)]);
   Event over = host->event_for(What::wish_over);
   over.key = static_cast<std::uint64_t>(life) << 32 | slot;
-  host->later(over, std::max(at, client.until));
+  host->later(over, std::max(host->now(), client.until));
 }
 
 void Host::Seat::leave_worker() {
   if (!stands) return;
   stands = false;
-  host->figures_.wanted += static_cast<double>(host->now() - client.wanting_since) / 1e6;
+  host->figures_.had(client, host->now());
   client.wanting_since = host->now();
   Known& there = host->known_[static_cast<std::size_t>(worker)];
   if (there.speaks == slot + 1) there.speaks = 0;
@@ -220,21 +215,11 @@
   startup_.seed = Stream(seed, Purpose::module, number).bits();
   startup_.known.snapshot = true;
   for (int i = 0; i < scenario.workers(); ++i) {
-    std::string name = scenario.name_of(i);
-    workers_[name] = i;
-    names_.push_back(name);
-    const Kind& kind = scenario.kind_of(i);
-    if (kind.from > 0) continue;
-    config::WorkerEntry entry;
-    entry.backend.address = name;
-    entry.backend.zone = "a";
-    entry.backend.scale = kind.scale;
-    entry.backend.cell = i;
-    entry.address = name;
-    startup_.known.workers.push_back(std::move(entry));
+    if (scenario.kind_of(i).from > 0) continue;
+    startup_.known.workers.push_back(entry_of(i));
   }
-  known_.resize(names_.size());
-  probes_.resize(names_.size(), -1);
+  known_.resize(places.names.size());
+  probes_.resize(places.names.size(), -1);
 }
 
 Host::~Host() {
@@ -243,7 +228,14 @@
   dispatcher_.reset();
 }
 
-int Host::worker_named(const std::string& name) const { return workers_.at(name); }
+config::WorkerEntry Host::entry_of(int worker) const {
+  config::WorkerEntry entry;
+  entry.backend.address = entry.address = name(worker);
+  entry.backend.zone = "a";
+  entry.backend.scale = scenario_.kind_of(worker).scale;
+  entry.backend.cell = worker;
+  return entry;
+}
 
 void Host::live() {
   metrics_.emplace();
@@ -252,8 +244,7 @@
   // What is handed over at a start is what stood in its files: the first list, however old.
   dispatcher_ = std::make_unique<core::Dispatcher>(startup_, *this, *this, *this, *metrics_);
   if (scenario_.rebalance.enabled)
-    driver_ = std::make_unique<rebalance::Driver>(scenario_.rebalance, *dispatcher_,
-                                                  startup_.seed ^ 0x5bd1e995, *counters_);
+    driver_ = std::make_unique<rebalance::Driver>(scenario_.rebalance, *dispatcher_, startup_, *counters_);
   for (Known& known : known_) known.leaving = false, known.speaks = 0;
 }
 
@@ -309,61 +300,41 @@
 
 // ---- Clients -------------------------------------------------------------------------------------------
 
-Client Host::new_client() {
-  Client client;
-  client.id = host_ << 22 | next_client_++;
-  Stream own(seed_, Purpose::client, client.id);
-  client.load = static_cast<float>(scenario_.load * own.lognormal(scenario_.spread));
-  if (own.uniform() < scenario_.heavy_share) client.load *= static_cast<float>(scenario_.heavy_times);
-  client.quic = own.uniform() < scenario_.quic_share;
-  double group = own.uniform();
-  if (scenario_.groups > 0)
-    client.group = group < scenario_.big_group
-                       ? 1
-                       : 2 + static_cast<std::uint32_t>(
-                                 own.below(static_cast<std::uint64_t>(std::max(1, scenario_.groups - 1))));
-  client.until = now() + static_cast<Time>(own.exponential(scenario_.stay) * 1e6);
-  client.wanting_since = now();
-  client.draws = own.count();
-  return client;
+Host::Seat& Host::seat_for(const Client& client) {
+  if (free_seats_.empty()) {
+    free_seats_.push_back(static_cast<std::uint32_t>(seats_.size()));
+    seats_.emplace_back();
+  }
+  Seat& seat = seats_[free_seats_.back()];
+  seat.host = this;
+  seat.slot = free_seats_.back();
+  free_seats_.pop_back();
+  seat.life += 1;
+  seat.used = true;
+  seat.stands = seat.moving = false;
+  seat.client = client;
+  return seat;
 }
 
-std::uint64_t Host::stands_already(const Client& from, int worker) {
-  std::uint32_t slot = static_cast<std::uint32_t>(seats_.size());
-  seats_.emplace_back();
-  Seat& seat = seats_.back();
-  seat.host = this;
-  seat.slot = slot;
-  seat.life = 1;
-  seat.used = seat.answered = seat.stands = true;
-  seat.client = from;
-  seat.worker = worker;
-  seat.attempts = 1;
-  Known& there = known_[static_cast<std::size_t>(worker)];
-  seat.place = there.seats.size();
-  there.seats.push_back(slot);
+core::Call Host::call_of(const Seat& seat) const {
   core::Call call;
   call.expires_in = scenario_.patience;
-  call.load_hint = from.load;
-  call.group = from.group;
+  call.load_hint = seat.client.load;
+  call.group = seat.client.group;
+  call.returned = seat.client.returned;
   call.opening = std::to_string(seat.key());
-  // The exchange is made before the delegation, which needs it: the seat's own is taken from the adoption.
-  struct Late : core::Delegation {
-    std::unique_ptr<Attempt> attempt;
-    void deliver(std::string_view bytes) override { attempt->deliver(bytes); }
-    void hold(bool) override {}
-    void finish(core::Ending) override {}
-  };
-  auto late = std::make_unique<Late>();
-  Late* handle = late.get();
-  core::Exchange& exchange = dispatcher_->adopt(
-      std::move(call), seat, *workers_side_, names_[static_cast<std::size_t>(worker)], std::move(late), true);
-  handle->attempt = std::make_unique<Attempt>(seat, exchange, worker);
-  handle->attempt->told();
-  seat.exchange = &exchange;
-  Event over = event_for(What::wish_over);
-  over.key = static_cast<std::uint64_t>(seat.life) << 32 | slot;
-  later(over, from.until);
+  return call;
+}
+
+std::uint64_t Host::stands_already(const Client& client, int worker) {
+  Seat& seat = seat_for(client);
+  seat.answered = true;
+  seat.worker = worker;
+  seat.attempts = 1;
+  auto attempt = std::make_unique<Attempt>(seat, worker);
+  seat.exchange =
+      &dispatcher_->adopt(call_of(seat), seat, *workers_side_, name(worker), std::move(attempt), true);
+  seat.stand();
   return seat.key();
 }
 
@@ -371,27 +342,12 @@
   double rate = scenario_.arrivals / scenario_.balancers;
   later(event_for(What::spawn), now() + static_cast<Time>(spawn_.exponential(1 / rate) * 1e6));
   if (now() == 0 || !alive_ || (scenario_.arrive_until > 0 && now() > scenario_.arrive_until)) return;
-  arrives(new_client());
+  arrives(new_client(scenario_, seed_, host_ << 22 | next_client_++, now()));
 }
 
-void Host::arrives(Client client) {
-  std::uint32_t slot;
-  if (free_seats_.empty()) {
-    slot = static_cast<std::uint32_t>(seats_.size());
-    seats_.emplace_back();
-  } else {
-    slot = free_seats_.back();
-    free_seats_.pop_back();
-  }
-  Seat& seat = seats_[slot];
-  seat.host = this;
-  seat.slot = slot;
-  seat.life += 1;
-  seat.used = true;
-  seat.stands = seat.moving = false;
-  seat.client = client;
+void Host::arrives(const Client& client) {
+  Seat& seat = seat_for(client);
   if (!alive_) return retries(seat, 0);  // nobody listens: it tries another
-  if (client.returned) figures_.returned += 1;
   ask(seat);
 }
 
@@ -401,13 +357,7 @@
   seat.asked_at = now();
   figures_.calls += 1;
   note("asks", seat);
-  core::Call call;
-  call.expires_in = scenario_.patience;
-  call.load_hint = seat.client.load;
-  call.group = seat.client.group;
-  call.returned = seat.client.returned;
-  call.opening = std::to_string(seat.key());
-  core::Exchange& exchange = dispatcher_->take(std::move(call), seat, *workers_side_);
+  core::Exchange& exchange = dispatcher_->take(call_of(seat), seat, *workers_side_);
   if (!seat.answered && seat.used) seat.exchange = &exchange;
 }
 
@@ -433,8 +383,7 @@
     return;
   }
   if (now() + after >= client.until) {
-    figures_.wanted += static_cast<double>(std::max<Time>(0, client.until - client.wanting_since)) / 1e6;
-    figures_.without += static_cast<double>(std::max<Time>(0, client.until - client.wanting_since)) / 1e6;
+    figures_.went_without(client, client.until);
     return;
   }
   Event event = event_for(What::arrives);
@@ -448,10 +397,7 @@
   seat.client.tries += 1;
   if (seat.client.tries >= scenario_.tries) {
     figures_.gave_up += 1;
-    figures_.wanted +=
-        static_cast<double>(std::max<Time>(0, seat.client.until - seat.client.wanting_since)) / 1e6;
-    figures_.without +=
-        static_cast<double>(std::max<Time>(0, seat.client.until - seat.client.wanting_since)) / 1e6;
+    figures_.went_without(seat.client, seat.client.until);
     return free(seat);
   }
   // As told, or twice as long each time; never in step.
@@ -466,13 +412,9 @@
 // ---- What happens --------------------------------------------------------------------------------------
 
 void Host::probe(const std::string& worker, const std::string&) {
-  int number = worker_named(worker);
+  int number = places_.numbers.at(worker);
   probes_[static_cast<std::size_t>(number)] = now();
-  Event event = event_for(What::probe);
-  event.lane = places_.workers[static_cast<std::size_t>(number)];
-  event.worker = static_cast<std::uint32_t>(number);
-  event.time = now();
-  later(event, now() + hop());
+  send_worker(What::probe, number, 0, nullptr);
   // All have the same time-out: they come due in the order they were sent, and one event looks at the first.
   if (probe_order_.empty()) later(event_for(What::probes_due), now() + kProbeTimeout);
   probe_order_.emplace_back(now(), number);
@@ -492,15 +434,10 @@
   if (!alive_ || !tracking_) return;
   config::WorkerList list;
   list.snapshot = false;
-  config::WorkerEntry entry;
+  config::WorkerEntry& entry = list.workers.emplace_back(entry_of(static_cast<int>(event.worker)));
   entry.backend.health = static_cast<Health>(event.outcome);
-  entry.backend.address = entry.address = names_[event.worker];
-  entry.backend.zone = "a";
-  entry.backend.scale = scenario_.kind_of(static_cast<int>(event.worker)).scale;
-  entry.backend.cell = static_cast<std::int64_t>(event.worker);
   entry.backend.start_time = event.time;
-  list.workers.push_back(std::move(entry));
-  bool leaving = list.workers[0].backend.health != Health::serving;
+  bool leaving = entry.backend.health != Health::serving;
   if (leaving && !known.leaving) known.told = now();
   known.leaving = leaving;
   dispatcher_->list_told(list);
@@ -614,20 +551,20 @@
         break;
       }
       if (!seat->attempt || seat->attempt->key() != event.key || !seat->exchange) break;
-      core::Exchange& exchange = seat->attempt->exchange();
       if (event.what == What::up) {
-        exchange.worker_up({});
+        seat->exchange->worker_up({});
       } else {
         seat->attempt->ended();
-        exchange.worker_ended(static_cast<Outcome>(event.outcome), core::Ending::broken, {event.value});
+        seat->exchange->worker_ended(static_cast<Outcome>(event.outcome), core::Ending::broken,
+                                     {event.value});
       }
       break;
     }
     case What::probed: {
       if (probes_[event.worker] != event.time || !alive_) break;
       probes_[event.worker] = -1;
-      dispatcher_->probe_result(names_[event.worker], now() - event.time, static_cast<Outcome>(event.outcome),
-                                {event.value});
+      dispatcher_->probe_result(places_.names[event.worker], now() - event.time,
+                                static_cast<Outcome>(event.outcome), {event.value});
       break;
     }
     case What::answered: {
@@ -644,8 +581,7 @@
         probe_order_.pop_front();
         if (!alive_ || probes_[static_cast<std::size_t>(worker)] != sent) continue;
         probes_[static_cast<std::size_t>(worker)] = -1;
-        dispatcher_->probe_result(names_[static_cast<std::size_t>(worker)], kProbeTimeout, Outcome::timeout,
-                                  {});
+        dispatcher_->probe_result(name(worker), kProbeTimeout, Outcome::timeout, {});
       }
       if (!probe_order_.empty())
         later(event_for(What::probes_due), probe_order_.front().first + kProbeTimeout);
@@ -656,10 +592,7 @@
       break;
     case What::dies:
       dies();
-      {
-        Event back = event_for(What::revives);
-        later(back, now() + event.time);
-      }
+      later(event_for(What::revives), now() + event.time);
       break;
     case What::revives:
       alive_ = true;
@@ -669,11 +602,11 @@
       drops(event.value, event.time);
       break;
     case What::moves: {  // as a hand on the switch would: all at once, whoever they are
-      std::vector<core::Exchange*> here;
+      std::vector<std::uint64_t> here;
       for (Seat& seat : seats_)
         if (seat.used && seat.stands && seat.exchange && choice_.uniform() < event.value)
-          here.push_back(seat.exchange);
-      for (core::Exchange* exchange : here) exchange->move();
+          here.push_back(seat.exchange->id());
+      for (std::uint64_t id : here) dispatcher_->move(id);
       break;
     }
     default:
@@ -685,11 +618,8 @@
 void Host::finish(Time end) {
   for (Seat& seat : seats_) {
     if (!seat.used) continue;
-    double seconds =
-        static_cast<double>(std::max<Time>(0, std::min(end, seat.client.until) - seat.client.wanting_since)) /
-        1e6;
-    figures_.wanted += seconds;
-    if (!seat.stands) figures_.without += seconds;
+    Time until = std::min(end, seat.client.until);
+    seat.stands ? figures_.had(seat.client, until) : figures_.went_without(seat.client, until);
     if (!seat.answered && end - seat.asked_at > scenario_.patience)
       rules_.broken(Rule::one_answer, end, "a call that was never answered");
   }
--- a/src/model/host.h
+++ b/src/model/host.h
@@ -2,6 +2,7 @@
 // that are there. The ports of the core (core/ports.h) lead to the model's net instead of to sockets.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -17,13 +18,22 @@
 namespace marblehub::model {
 
 struct HostFigures {
-  long calls = 0, established = 0, refused = 0, failed = 0, gave_up = 0;
-  long moves = 0, planned = 0, told = 0, returned = 0, lost = 0;
+  long calls = 0, refused = 0, failed = 0, gave_up = 0;
+  long planned = 0, told = 0, lost = 0;
   double wanted = 0;                                 // client-seconds of wish
   double without = 0;                                // of them without a connection
   std::vector<Time> moved;                           // for balance, in order
   std::vector<float> set_up_ms;                      // a sample of them
   std::array<double, rebalance::kStills> seconds{};  // of the planner, in each state
+
+  // From when it began to want one until then the client had a connection, or had none.
+  void had(const Client& client, Time until) {
+    wanted += static_cast<double>(std::max<Time>(0, until - client.wanting_since)) / 1e6;
+  }
+  void went_without(const Client& client, Time until) {
+    had(client, until);
+    without += static_cast<double>(std::max<Time>(0, until - client.wanting_since)) / 1e6;
+  }
 };
 
 class Host : public Lane, public core::Clock, public core::Prober, public core::Registry {
@@ -53,7 +63,9 @@
 
   void live();  // makes the dispatcher, at start and after a death
   void settle();
-  void arrives(Client client);
+  Seat& seat_for(const Client& client);
+  core::Call call_of(const Seat& seat) const;
+  void arrives(const Client& client);
   void ask(Seat& seat);
   void goes(Seat& seat, Time after, bool returned);
   void retries(Seat& seat, Time after);
@@ -66,13 +78,11 @@
   void drops(double share, Time within);
   void spawn();
   void planned_step();
-  Client new_client();
-  int worker_named(const std::string& name) const;
+  config::WorkerEntry entry_of(int worker) const;
+  const std::string& name(int worker) const { return places_.names[static_cast<std::size_t>(worker)]; }
   Event event_for(What what) const;
   void send_worker(What what, int worker, std::uint64_t key, const Client* client);
-  Time hop() {
-    return scenario_.hop + static_cast<Time>(net_.uniform() * static_cast<double>(scenario_.jitter));
-  }
+  Time hop() { return hop_time(scenario_, net_); }
   void note(const char* what, const Seat& seat, const std::string& more = {});
 
   const Scenario& scenario_;
@@ -90,7 +100,6 @@
   Time wake_at_ = -1;
   std::deque<Seat> seats_;
   std::vector<std::uint32_t> free_seats_;
-  std::unordered_map<std::string, int> workers_;
   struct Known {  // of a worker, as this balancer was told
     bool leaving = false;
     Time told = 0;
@@ -100,7 +109,6 @@
     bool all_speak = false;
   };
   std::vector<Known> known_;
-  std::vector<std::string> names_;
   std::vector<Time> probes_;                      // when sent, by worker; -1: none is out
   std::deque<std::pair<Time, int>> probe_order_;  // all, those answered included
   std::map<std::uint32_t, Event> latest_;         // what the registry has to tell of each worker
--- a/src/model/page.cpp
+++ b/src/model/page.cpp
@@ -81,25 +81,15 @@
   return svg + "</svg>";
 }
 
-double figure(const Result& result, const std::string& name) {
-  auto it = result.figures.find(name);
-  return it == result.figures.end() ? 0 : it->second;
-}
-
 data rows(const std::vector<Way>& ways, const std::vector<std::string>& figures) {
   data all{data::type::list};
   for (const std::string& name : figures) {
     data cells{data::type::list};
     for (const Way& way : ways) {
-      std::vector<double> values, differences;
-      for (std::size_t i = 0; i < way.results.size(); ++i) {
-        values.push_back(figure(way.results[i], name));
-        differences.push_back(values.back() - figure(ways.front().results[i], name));
-      }
-      Estimate own = estimate(values), other = estimate(differences);
       data cell{data::type::object};
-      cell.set("mean", fmt::format("{:.5g}", own.mean));
+      cell.set("mean", fmt::format("{:.5g}", way.estimate_of(name).mean));
       if (&way != &ways.front()) {
+        Estimate other = way.less(ways.front(), name);
         data difference{data::type::object};
         difference.set("text", fmt::format("{:+.4g} \u00b1 {:.2g}", other.mean, other.half));
         difference.set("apart", data{other.apart() ? data::type::bool_true : data::type::bool_false});
--- a/src/model/random.h
+++ b/src/model/random.h
@@ -13,16 +13,13 @@
 
 enum class Purpose : std::uint32_t {
   client = 1,
-  spawn,
-  network,
-  list,
-  worker,
-  host,
-  report,
-  placing,
-  choice,
-  store,
-  module
+  spawn = 2,
+  network = 3,
+  worker = 5,
+  report = 7,
+  placing = 8,
+  choice = 9,
+  module = 11
 };
 
 class Stream {
--- a/src/model/scenario.cpp
+++ b/src/model/scenario.cpp
@@ -1,8 +1,10 @@
 #include "model/scenario.h"
 
 #include <algorithm>
-#include <fstream>
 #include <sstream>
+#include <stdexcept>
+
+#include "config/json.h"
 
 namespace marblehub::model {
 namespace {
@@ -146,11 +148,7 @@
     auto ms = [&](const char* key, double absent) {
       return static_cast<Time>(real(key, absent) * static_cast<double>(kMillisecond));
     };
-    auto share = [&](const char* key, double absent) {
-      double value = real(key, absent);
-      if (value > 1) o.refuse(key, "a share from 0 to 1");
-      return value;
-    };
+    auto share = [&](const char* key, double absent) { return o.share_or(key, 0, absent); };
     s.name = o.text("name");
     s.lasts = seconds(o.number<double>("seconds", 1));
     s.balancers = whole("balancers", 1, 1);
@@ -209,9 +207,9 @@
     s.wave_period = std::max<Time>(kSecond, ms("wave.period_ms", 60000));
     s.slo = ms("clients.slo_ms", 500);
     s.aim = ms("clients.aim_ms", 150);
-    s.rebalance = rebalance::settings_from(below(o));
-    for (const auto& [key, value] : values_)
-      if (!key.starts_with("rebalance.") && !marked(o, key)) o.refuse(key, "no such key");
+    s.rebalance = rebalance::settings_from(config::below(o, "rebalance", place_ + ": rebalance: "));
+    if (std::vector<std::string> unread = o.unread(); !unread.empty())
+      o.refuse(unread.front(), "no such key");
     for (auto& [h, line] : happenings_) {
       number_ = line;
       if (!h.kind.empty() && s.worker(h.kind, h.number) < 0)
@@ -225,17 +223,6 @@
     return s;
   }
 
-  static bool marked(const Options& o, const std::string& key) {
-    auto unread = o.unread();
-    return std::find(unread.begin(), unread.end(), key) == unread.end();
-  }
-  Options below(const Options&) const {
-    config::Values part;
-    for (const auto& [key, value] : values_)
-      if (key.starts_with("rebalance.")) part[key.substr(10)] = value;
-    return Options(std::move(part), place_ + ": rebalance: ");
-  }
-
   const std::string place_;
   int number_ = 0;
   config::Values values_;
@@ -261,20 +248,17 @@
   return -1;
 }
 
-const Kind& Scenario::kind_of(int worker) const {
+std::pair<const Kind*, int> Scenario::place_of(int worker) const {
   for (const Kind& k : kinds) {
-    if (worker < k.count) return k;
+    if (worker < k.count) return {&k, worker + 1};
     worker -= k.count;
   }
-  return kinds.back();
+  throw std::out_of_range("there is no such worker");
 }
 
 std::string Scenario::name_of(int worker) const {
-  for (const Kind& k : kinds) {
-    if (worker < k.count) return k.name + "-" + std::to_string(worker + 1);
-    worker -= k.count;
-  }
-  return "";
+  auto [kind, number] = place_of(worker);
+  return kind->name + "-" + std::to_string(number);
 }
 
 Scenario scenario_from(const std::string& text, const std::string& place,
@@ -284,11 +268,9 @@
 
 Scenario scenario_in(const std::string& path,
                      const std::vector<std::pair<std::string, std::string>>& changes) {
-  std::ifstream file(path);
-  if (!file) throw config::DecodeError(path + ": cannot be read");
-  std::ostringstream text;
-  text << file.rdbuf();
-  return scenario_from(text.str(), path, changes);
+  auto text = config::read_file(path);
+  if (!text) throw config::DecodeError(path + ": cannot be read");
+  return scenario_from(*text, path, changes);
 }
 
 }  // namespace marblehub::model
--- a/src/model/scenario.h
+++ b/src/model/scenario.h
@@ -75,8 +75,11 @@
   int workers() const;
   // The number of a worker among all, by its kind and its number in it, from 1.
   int worker(const std::string& kind, int number) const;
-  const Kind& kind_of(int worker) const;
+  const Kind& kind_of(int worker) const { return *place_of(worker).first; }
   std::string name_of(int worker) const;  // kind-number
+
+ private:
+  std::pair<const Kind*, int> place_of(int worker) const;  // its kind, and its number in it, from 1
 };
 
 // `changes` are key=value pairs that go before those of the file.
--- a/src/model/study.cpp
+++ b/src/model/study.cpp
@@ -59,14 +59,18 @@
   return results;
 }
 
-namespace {
-
-double figure(const Result& result, const std::string& name) {
-  auto it = result.figures.find(name);
-  return it == result.figures.end() ? 0 : it->second;
+Estimate Way::estimate_of(const std::string& figure) const {
+  std::vector<double> values;
+  for (const Result& r : results) values.push_back(r.figure(figure));
+  return estimate(values);
 }
 
-}  // namespace
+Estimate Way::less(const Way& other, const std::string& figure) const {
+  std::vector<double> differences;
+  for (std::size_t i = 0; i < results.size(); ++i)
+    differences.push_back(results[i].figure(figure) - other.results[i].figure(figure));
+  return estimate(differences);
+}
 
 std::string table(const std::vector<Way>& ways, const std::vector<std::string>& figures) {
   std::string out = fmt::format("{:<22}", "");
@@ -75,17 +79,12 @@
   for (const std::string& name : figures) {
     std::string line = fmt::format("{:<22}", name);
     for (const Way& way : ways) {
-      std::vector<double> values;
-      for (const Result& r : way.results) values.push_back(figure(r, name));
-      Estimate e = estimate(values);
+      Estimate e = way.estimate_of(name);
       line += fmt::format(" {:>26}", fmt::format("{:.5g} +- {:.2g}", e.mean, e.half));
     }
     out += line + "\n";
     for (std::size_t w = 1; w < ways.size(); ++w) {
-      std::vector<double> differences;
-      for (std::size_t i = 0; i < ways[w].results.size(); ++i)
-        differences.push_back(figure(ways[w].results[i], name) - figure(ways[0].results[i], name));
-      Estimate e = estimate(differences);
+      Estimate e = ways[w].less(ways[0], name);
       if (e.apart())
         out += fmt::format("  {} less {}: {:.4g} +- {:.2g}\n", ways[w].name, ways[0].name, e.mean, e.half);
     }
--- a/src/model/study.h
+++ b/src/model/study.h
@@ -33,6 +33,9 @@
 struct Way {
   std::string name;
   std::vector<Result> results;  // one a seed, in order
+
+  Estimate estimate_of(const std::string& figure) const;
+  Estimate less(const Way& other, const std::string& figure) const;  // paired by seed
 };
 
 // A line a figure with each way's mean and, from the second way on, its paired difference to the first.
--- a/src/model/worker.cpp
+++ b/src/model/worker.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <stdexcept>
+
+#include "fading.h"
 
 namespace marblehub::model {
 namespace {
@@ -15,22 +18,36 @@
 
 }  // namespace
 
+Client new_client(const Scenario& scenario, std::uint64_t seed, std::uint32_t id, Time now) {
+  Client client;
+  client.id = id;
+  Stream own(seed, Purpose::client, id);
+  client.load = static_cast<float>(scenario.load * own.lognormal(scenario.spread));
+  if (own.uniform() < scenario.heavy_share) client.load *= static_cast<float>(scenario.heavy_times);
+  client.quic = own.uniform() < scenario.quic_share;
+  double group = own.uniform();
+  auto small = static_cast<std::uint64_t>(std::max(1, scenario.groups - 1));
+  if (scenario.groups > 0)
+    client.group = group < scenario.big_group ? 1 : 2 + static_cast<std::uint32_t>(own.below(small));
+  client.until = now + static_cast<Time>(own.exponential(scenario.stay) * 1e6);
+  client.wanting_since = now;
+  client.draws = own.count();
+  return client;
+}
+
 // ---- One worker --------------------------------------------------------------------------------------
 
 Worker::Worker(const Scenario& scenario, int number, std::uint64_t seed)
     : scenario_(scenario),
       kind_(scenario.kind_of(number)),
       number_(number),
-      random_(seed, Purpose::worker, static_cast<std::uint64_t>(number)),
       reports_(seed, Purpose::report, static_cast<std::uint64_t>(number)),
-      phase_(random_.uniform()) {
+      phase_(Stream(seed, Purpose::worker, static_cast<std::uint64_t>(number)).uniform()) {
   up_ = kind_.from == 0;
 }
 
 double Worker::warmth(Time now) const {
-  if (started_ == 0 || scenario_.warm_within <= 0) return 1;
-  double part = static_cast<double>(now - started_) / static_cast<double>(scenario_.warm_within);
-  return part >= 1 ? 1 : scenario_.cold_share + (1 - scenario_.cold_share) * part;
+  return lemonspread::warm_part(started_, now, scenario_.cold_share, scenario_.warm_within);
 }
 
 double Worker::capacity(Time now) const { return kind_.cores * kind_.speed * slow_ * warmth(now) * 1e6; }
@@ -48,7 +65,6 @@
   double seconds = static_cast<double>(now - advanced_) / 1e6;
   if (seconds <= 0) return;
   double can = capacity(now), wants = demand(now);
-  figures_.connected += seconds * static_cast<double>(standing_);
   if (up_ && !hung_) {
     backlog_ = std::max(0.0, backlog_ + (wants - can) * seconds);
     double late = static_cast<double>(delay(now)), aim = static_cast<double>(scenario_.aim);
@@ -61,9 +77,6 @@
     told_at_ = (told_at_ + 1) % told_.size();
     told_[told_at_] = {now, load(now)};
   }
-  bool over = up_ && wait(now) * 1e6 > static_cast<double>(scenario_.falls_over) / 2;
-  if (!over) over_since_ = -1;
-  if (over && over_since_ < 0) over_since_ = now;
 }
 
 double Worker::wait(Time now) const { return backlog_ / capacity(now); }
@@ -86,9 +99,9 @@
   if (standing.group != 0) groups_[standing.group] += 1;
 }
 
-bool Worker::remove(std::uint64_t key) {
+void Worker::remove(std::uint64_t key) {
   auto it = held_.find(key);
-  if (it == held_.end()) return false;
+  if (it == held_.end()) return;
   if (it->second.stands) {
     standing_ -= 1;
     asked_ = standing_ == 0 ? 0 : std::max(0.0, asked_ - it->second.load);
@@ -96,7 +109,6 @@
     if (group != 0 && --groups_[group] <= 0) groups_.erase(group);
   }
   held_.erase(it);
-  return true;
 }
 
 // ---- Those on a lane ---------------------------------------------------------------------------------
@@ -171,11 +183,7 @@
   double waits = w.wait(now()) * 1e6;
   bool full = (w.kind_.most > 0 && w.held_.size() >= static_cast<std::size_t>(w.kind_.most)) ||
               waits > static_cast<double>(w.kind_.queue);
-  if (full) {
-    w.figures_.refused += 1;
-    return reply(event, What::over, Outcome::full, report(w));
-  }
-  w.figures_.set_ups += 1;
+  if (full) return reply(event, What::over, Outcome::full, report(w));
   w.backlog_ += scenario_.setup_work;
   w.extra_ += scenario_.setup_work;
   w.add(event.key, event.client.load, event.client.group);
@@ -222,8 +230,7 @@
     throw std::logic_error("an event for a worker of another lane");
   Worker& w = *workers_[event.worker];
   w.advance(now());
-  if (w.up_ && !w.hung_ && w.over_since_ >= 0 &&
-      w.wait(now()) * 1e6 > static_cast<double>(scenario_.falls_over)) {
+  if (w.up_ && !w.hung_ && w.wait(now()) * 1e6 > static_cast<double>(scenario_.falls_over)) {
     stop(w, true);
     Event back;
     back.lane = number();
--- a/src/model/worker.h
+++ b/src/model/worker.h
@@ -12,11 +12,21 @@
 
 namespace marblehub::model {
 
-struct Places {  // which lane whom
+struct Places {  // which lane is whose, and what the workers are called
   std::vector<std::uint32_t> hosts, workers;
   std::uint32_t store = 0;
+  std::vector<std::string> names;                // of the workers, by number
+  std::unordered_map<std::string, int> numbers;  // and back
 };
 
+// A client with all that is drawn of it once, from its own stream.
+Client new_client(const Scenario& scenario, std::uint64_t seed, std::uint32_t id, Time now);
+
+// One way through the net.
+inline Time hop_time(const Scenario& scenario, Stream& net) {
+  return scenario.hop + static_cast<Time>(net.uniform() * static_cast<double>(scenario.jitter));
+}
+
 struct Sample {        // of one worker, every kSampleEvery
   float level = 0;     // load over capacity; negative: it does not serve
   float capacity = 0;  // microseconds of work a second
@@ -29,9 +39,8 @@
   Worker(const Scenario& scenario, int number, std::uint64_t seed);
 
   struct Figures {
-    double served = 0;     // connection-seconds, weighted by how timely messages were
-    double connected = 0;  // connection-seconds
-    long set_ups = 0, refused = 0, cut = 0;
+    double served = 0;  // connection-seconds, weighted by how timely messages were
+    long cut = 0;
     int fell = 0, fell_cold = 0;
   };
   const Figures& figures() const { return figures_; }
@@ -53,18 +62,18 @@
   Time delay(Time now) const;       // of a message
   double load(Time now) const;
   void add(std::uint64_t key, float load, std::uint32_t group);
-  bool remove(std::uint64_t key);
+  void remove(std::uint64_t key);
   void stands(Standing& standing);
 
   const Scenario& scenario_;
   const Kind& kind_;
   const int number_;
-  Stream random_, reports_;
-  double phase_;
+  Stream reports_;
+  const double phase_;
   bool up_ = true, hung_ = false, draining_ = false;
   double slow_ = 1;
   Time started_ = 0;  // 0: warm since long ago
-  Time advanced_ = 0, over_since_ = -1;
+  Time advanced_ = 0;
   double backlog_ = 0;  // microseconds of work
   double asked_ = 0;    // by the standing connections
   double extra_ = 0;    // work of set-ups and probes in about the last second
@@ -99,9 +108,7 @@
   void stop(Worker& w, bool fell);
   void start(Worker& w);
   double report(Worker& w);
-  Time hop() {
-    return scenario_.hop + static_cast<Time>(net_.uniform() * static_cast<double>(scenario_.jitter));
-  }
+  Time hop() { return hop_time(scenario_, net_); }
 
   const Scenario& scenario_;
   const Places& places_;
--- a/src/quic/crypto.cpp
+++ b/src/quic/crypto.cpp
@@ -64,7 +64,8 @@
   return context;
 }
 
-Aes128::Aes128(std::string_view key) : encrypting_(make(key, true)), decrypting_(make(key, false)) {}
+Aes128::Aes128(std::string_view key, Use use)
+    : encrypting_(make(key, true)), decrypting_(use == Use::both ? make(key, false) : nullptr) {}
 Aes128::~Aes128() = default;
 
 void Aes128::run(evp_cipher_ctx_st* context, const Block& in, Block& out) {
--- a/src/quic/crypto.h
+++ b/src/quic/crypto.h
@@ -18,11 +18,13 @@
 // AES-128 on single blocks (ECB), for connection ids and header protection.
 class Aes128 {
  public:
-  explicit Aes128(std::string_view key);  // 16 octets
+  enum class Use { both, encrypt };                            // whether it is to decrypt as well
+  explicit Aes128(std::string_view key, Use use = Use::both);  // 16 octets
   ~Aes128();
   Aes128(Aes128&&) noexcept = default;
   Aes128& operator=(Aes128&&) noexcept = default;
   void encrypt(const Block& in, Block& out) const { run(encrypting_.get(), in, out); }
+  // Only where it was made for both.
   void decrypt(const Block& in, Block& out) const { run(decrypting_.get(), in, out); }
 
  private:
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -160,7 +160,7 @@
   }
   // An Initial whose id names a worker only by chance, or by design, has no claim to it: where a call goes,
   // and whether anything new goes to a worker that drains, is the module's to say.
-  if (header->kind == Kind::initial) return initial(*header, datagram.bytes, from);
+  if (header->kind == Kind::initial) return initial(*header, datagram, bytes);
   if (header->kind == Kind::zero_rtt) return stash(*header, bytes);
   if (auto id = ids_.codec().decode(header->destination, true)) return route(*id, bytes, datagram);
   if (unroutable(header->destination)) return by_tuple(bytes, datagram);
@@ -173,8 +173,10 @@
   if (bytes.size() >= kSmallestInitial) to_client(from, version_negotiation(header, settings_.versions));
 }
 
-void Front::initial(const Header& header, std::string_view bytes, const Endpoint& from) {
-  if (bytes.size() < kSmallestInitial || header.destination.size() < kShortestFirstId || !header.fixed)
+void Front::initial(const Header& header, const Datagram& datagram, std::string_view sound) {
+  const Endpoint& from = datagram.from;
+  if (datagram.bytes.size() < kSmallestInitial || header.destination.size() < kShortestFirstId ||
+      !header.fixed)
     return malformed_.add();  // RFC 9000, 14.1 and 7.2
   if (closed_) return to_client(from, close_initial(header, kConnectionRefused, "leaving"));
   AddressValidation::Judged judged = validation_.judge(header, from, now_);
@@ -187,30 +189,30 @@
     retries_.add();
     return to_client(from, validation_.retry(header, from, now_));
   }
-  new_call(header, bytes, from, judged.token);
+  new_call(header, datagram, sound, judged.token);
 }
 
-void Front::new_call(const Header& header, std::string_view bytes, const Endpoint& from,
+void Front::new_call(const Header& header, const Datagram& datagram, std::string_view sound,
                      const std::optional<RetryToken>& token) {
   if (flows_.size() >= settings_.calls) {
     full_.add();
-    return to_client(from, close_initial(header, kConnectionRefused, "busy"));
+    return to_client(datagram.from, close_initial(header, kConnectionRefused, "busy"));
   }
-  auto flow = std::make_shared<Flow>(*this, header, from);
+  auto flow = std::make_shared<Flow>(*this, header, datagram.from);
   if (token) {
     flow->original = std::make_unique<ConnectionId>(token->original);
     flow->validated = true;
   }
   flow->beginning = std::make_unique<Flow::Beginning>();
   flow->beginning->keys_from = flow->first_destination;
-  flow->beginning->flight.emplace_back(bytes.substr(0, sound_length(bytes, header)));
+  flow->beginning->flight.emplace_back(sound);
   FlowKey key = flow_key(header.destination, header.source);
   if (auto early = early_.find(std::string(key.view())); early != early_.end()) {
     for (std::string& datagram : early->second.datagrams)
       flow->beginning->flight.push_back(std::move(datagram));
     early_.erase(early);
   }
-  take(std::move(flow), key, bytes);
+  take(std::move(flow), key, datagram.bytes);
 }
 
 core::Call Front::call() const {
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -54,8 +54,9 @@
   void receive();
   void from_client(const Datagram& datagram);
   void other_version(const Header& header, std::string_view bytes, const Endpoint& from);
-  void initial(const Header& header, std::string_view bytes, const Endpoint& from);
-  void new_call(const Header& header, std::string_view bytes, const Endpoint& from,
+  // `sound` is the part of the datagram that may be passed on.
+  void initial(const Header& header, const Datagram& datagram, std::string_view sound);
+  void new_call(const Header& header, const Datagram& datagram, std::string_view sound,
                 const std::optional<RetryToken>& token);
   void waiting(Flow& flow, const Datagram& datagram, std::string_view bytes);
   void by_tuple(std::string_view bytes, const Datagram& datagram);
--- a/src/quic/initial.cpp
+++ b/src/quic/initial.cpp
@@ -11,7 +11,8 @@
 Block mask_of(const InitialKeys& keys, std::string_view sample) {
   Block in, out;
   std::memcpy(in.data(), sample.data(), kSample);
-  Aes128(keys.hp).encrypt(in, out);
+  Aes128(keys.hp, Aes128::Use::encrypt)
+      .encrypt(in, out);  // header protection never decrypts (RFC 9001, 5.4.1)
   return out;
 }
 
--- a/src/rebalance/driver.cpp
+++ b/src/rebalance/driver.cpp
@@ -1,6 +1,5 @@
 #include "rebalance/driver.h"
 
-#include <algorithm>
 #include <unordered_set>
 
 #include "log/log.h"
@@ -8,10 +7,12 @@
 namespace marblehub::rebalance {
 namespace {
 
-constexpr core::Time kSaid = 10'000'000;  // between two lines of the log about its state
+constexpr std::uint64_t kOwnSeed = 0x5bd1e995;  // the module draws from the same seed
+constexpr core::Time kSaid = 10'000'000;        // between two lines of the log about its state
 
-Fleet fleet_of(const lemonspread::Settings& settings, std::uint64_t seed) {
-  return {settings.balancers, settings.me, settings.cold_share, settings.warm_within_us, seed};
+Fleet fleet_of(const config::Startup& startup) {
+  const lemonspread::Settings& s = startup.settings;
+  return {s.balancers, s.me, s.cold_share, s.warm_within_us, startup.seed ^ kOwnSeed};
 }
 
 }  // namespace
@@ -31,12 +32,14 @@
                                        {{"state", name_of(static_cast<Still>(i))}}));
 }
 
-Driver::Driver(const Settings& settings, core::Dispatcher& dispatcher, std::uint64_t seed, Counters& counters)
+Driver::Driver(const Settings& settings, core::Dispatcher& dispatcher, const config::Startup& startup,
+               Counters& counters)
     : settings_(settings),
       dispatcher_(dispatcher),
-      planner_(settings, fleet_of(dispatcher.settings(), seed), dispatcher.now()),
+      planner_(settings, fleet_of(startup), dispatcher.now()),
       stepped_at_(dispatcher.now()),
       counters_(counters) {
+  members(startup.known);
   dispatcher.watched_by(*this);
 }
 
@@ -82,24 +85,14 @@
   planner_.reported(dispatcher_.now(), worker, load);
 }
 
-// What a whole list does not name is gone.
 void Driver::members(const config::WorkerList& list) {
   std::unordered_set<std::string> named;
   for (const config::WorkerEntry& entry : list.workers) {
-    bool serving = entry.backend.health == lemonspread::Health::serving;
-    planner_.member(dispatcher_.now(),
-                    {entry.backend.address, entry.backend.scale, entry.backend.start_time, serving});
+    planner_.member({entry.backend.address, entry.backend.scale, entry.backend.start_time,
+                     entry.backend.health == lemonspread::Health::serving});
     named.insert(entry.backend.address);
-    if (serving) serving_.push_back(entry.backend.address);
   }
-  std::sort(serving_.begin(), serving_.end());
-  serving_.erase(std::unique(serving_.begin(), serving_.end()), serving_.end());
-  if (!list.snapshot) return;
-  std::erase_if(serving_, [&](const std::string& worker) {
-    if (named.count(worker)) return false;
-    planner_.member(dispatcher_.now(), {worker, 1, 0, false});
-    return true;
-  });
+  if (list.snapshot) planner_.only(named);
 }
 
 void Driver::answered(bool refused) { planner_.answered(dispatcher_.now(), refused); }
--- a/src/rebalance/driver.h
+++ b/src/rebalance/driver.h
@@ -18,7 +18,9 @@
 
 class Driver : public core::StandingWatch {
  public:
-  Driver(const Settings& settings, core::Dispatcher& dispatcher, std::uint64_t seed, Counters& counters);
+  // From then on it watches the dispatcher; `startup` is what the dispatcher was made with.
+  Driver(const Settings& settings, core::Dispatcher& dispatcher, const config::Startup& startup,
+         Counters& counters);
 
   Plan step();  // what was planned; in a dry run none of it is done
   void pause(bool on);
@@ -44,7 +46,6 @@
   Still still_ = Still::starting;
   core::Time stepped_at_ = 0, said_at_ = 0;
   Counters& counters_;
-  std::vector<std::string> serving_;  // as the last whole list named them
 };
 
 }  // namespace marblehub::rebalance
--- a/src/rebalance/planner.cpp
+++ b/src/rebalance/planner.cpp
@@ -29,11 +29,15 @@
   return std::max(1.0, std::floor(a_minute * static_cast<double>(kBurst) / static_cast<double>(kMinute)));
 }
 
-template <class Times>
-void drop_before(Times& times, Time least) {
+void drop_before(std::deque<Time>& times, Time least) {
   while (!times.empty() && times.front() <= least) times.pop_front();
 }
 
+double lately(const std::deque<Time>& times, Time now) {
+  return static_cast<double>(
+      std::count_if(times.begin(), times.end(), [now](Time t) { return t > now - kBurst; }));
+}
+
 }  // namespace
 
 const char* name_of(Still still) {
@@ -44,7 +48,7 @@
 }
 
 Planner::Planner(const Settings& settings, const Fleet& fleet, Time now)
-    : settings_(settings), fleet_(fleet), random_(fleet.seed), began_(now), faded_at_(now) {}
+    : settings_(settings), fleet_(fleet), random_(fleet.seed), began_(now) {}
 
 // ---- What it is shown --------------------------------------------------------------------------------
 
@@ -59,7 +63,7 @@
   return it->second;
 }
 
-void Planner::member(Time, const Member& member) {
+void Planner::member(const Member& member) {
   Worker& w = workers_[static_cast<std::size_t>(index_of(member.worker))];
   w.scale = member.scale > 0 ? member.scale : 1;
   w.serving = member.serving;
@@ -67,6 +71,10 @@
   w.start_time = std::max(w.start_time, member.start_time);
 }
 
+void Planner::only(const std::unordered_set<std::string>& named) {
+  for (Worker& w : workers_) w.serving = w.serving && named.count(w.name) > 0;
+}
+
 void Planner::stands(Time now, const Connection& connection) {
   int at = index_of(connection.worker);
   Worker& w = workers_[static_cast<std::size_t>(at)];
@@ -121,10 +129,8 @@
 }
 
 void Planner::answered(Time now, bool refused) {
-  double kept = std::exp(-static_cast<double>(now - faded_at_) / static_cast<double>(kFade));
-  refused_ = refused_ * kept + refused;
-  asked_ = asked_ * kept + 1;
-  faded_at_ = now;
+  refused_.add(refused, now, kFade);
+  asked_.add(1, now, kFade);
 }
 
 void Planner::told_to_move(Time now) { to_come_.push_back(now); }
@@ -132,16 +138,14 @@
 // ---- How the fleet looks -----------------------------------------------------------------------------
 
 double Planner::warmth(const Worker& w, Time now) const {
-  if (w.start_time == 0 || fleet_.warm_within <= 0) return 1;
-  double part = static_cast<double>(now - w.start_time) / static_cast<double>(fleet_.warm_within);
-  return part >= 1 ? 1 : fleet_.cold_share + (1 - fleet_.cold_share) * std::max(0.0, part);
+  return lemonspread::warm_part(w.start_time, now, fleet_.cold_share, fleet_.warm_within);
 }
 
 // Loads are over what a worker can do while it warms; sizes are in what it can do then.
 Planner::View Planner::look(Time now) {
   View view;
-  double sum = 0, lasting = 0, highest = 0, lowest = 1e9;
-  highest_ = 0, lowest_ = 1e9;
+  double sum = 0, lasting = 0, lowest = 1e9, highest_lasting = 0, lowest_lasting = 1e9;
+  highest_ = 0;
   for (const Worker& w : workers_) {
     if (!w.serving || w.level < 0) continue;
     view.seen += 1;
@@ -153,15 +157,15 @@
     view.scales += size;
     sum += size * w.level;
     lasting += size * w.lasting;
-    highest = std::max(highest, w.lasting);
-    lowest = std::min(lowest, w.lasting);
+    highest_lasting = std::max(highest_lasting, w.lasting);
+    lowest_lasting = std::min(lowest_lasting, w.lasting);
     highest_ = std::max(highest_, w.level);
-    lowest_ = std::min(lowest_, w.level);
+    lowest = std::min(lowest, w.level);
   }
   view.mean = view.scales > 0 ? sum / view.scales : 0;
   mean_ = view.mean;
   view.lasting = view.scales > 0 ? lasting / view.scales : 0;
-  gap_ = view.scales > 0 ? std::min(highest_ - lowest_, highest - lowest) : 0;
+  gap_ = view.scales > 0 ? std::min(highest_ - lowest, highest_lasting - lowest_lasting) : 0;
   for (const Worker& w : workers_) {
     if (!w.serving || w.level < 0 || now - w.reported_at > settings_.stale) continue;
     double size = w.scale * warmth(w, now);
@@ -172,19 +176,21 @@
   return view;
 }
 
-double Planner::usual_load() const {
+double Planner::held_load() const {
   double load = 0;
   for (const Worker& w : workers_) load += w.load;
-  return connections_.empty() ? 1 : std::max(1e-9, load / static_cast<double>(connections_.size()));
+  return load;
+}
+
+double Planner::usual_load() const {
+  return connections_.empty() ? 1 : std::max(1e-9, held_load() / static_cast<double>(connections_.size()));
 }
 
 // The work a second that makes up a load of 1 on a worker of scale 1: what all balancers hold, taken for as
 // many times ours, over the loads reported. It holds set-ups and shared work too, so it errs to caution.
-double Planner::work_a_level(const View& view, Time) const {
-  double load = 0;
-  for (const Worker& w : workers_) load += w.load;
+double Planner::work_a_level(const View& view) const {
   double levels = view.mean * view.scales;
-  return levels > 0 ? load * fleet_.balancers / levels : 0;
+  return levels > 0 ? held_load() * fleet_.balancers / levels : 0;
 }
 
 bool Planner::in_quiet_hours(Time now) const {
@@ -208,8 +214,8 @@
 // ---- Why not -----------------------------------------------------------------------------------------
 
 Still Planner::gates(Time now, const View& view) {
-  double kept = std::exp(-static_cast<double>(now - faded_at_) / static_cast<double>(kFade));
-  double refused = asked_ * kept > kEverySoMany ? refused_ / asked_ : 0;
+  double asked = asked_.at(now, kFade);
+  double refused = asked > kEverySoMany ? refused_.at(now, kFade) / asked : 0;
   double old = view.seen > 0 ? static_cast<double>(view.old) / view.seen : 0;
   stale_.look(old > kOld, old <= kOld / 2, now);
   refusing_.look(refused > settings_.refusals, refused < settings_.refusals / 2, now);
@@ -234,9 +240,7 @@
 // each try in vain, and ends at the first that helps.
 Still Planner::judge_progress(Time now) {
   if (now < rest_until_) return Still::no_better;
-  if (watched_since_ < 0 || (rest_until_ >= 0 && now - last_plan_ > kMinute)) {
-    watched_since_ = now, watched_gap_ = gap_, moved_since_ = 0;
-  }
+  if (watched_since_ < 0) watched_since_ = now;
   // A gap that opened after the watch began, as new workers report, is what the moves are measured by.
   watched_gap_ = std::max(watched_gap_, gap_);
   if (now - watched_since_ < settings_.patience) return Still::acting;
@@ -261,14 +265,11 @@
 // Whole moves only. A fleet limit that gives less than one a balancer and minute is kept in turns: time is
 // cut into slots of a minute over the limit, and a balancer may move once at the slots that are its own. Of
 // these no more begin in any minute than the limit says.
-std::size_t Planner::allowance(Time now) {
-  forget_old(now);
+std::size_t Planner::allowance(Time now) const {
   double fleet = settings_.fleet_a_minute, share = fleet / fleet_.balancers;
   double mine = std::floor(std::min(settings_.moves_a_minute, share));
   if (mine >= 1) {
-    double lately = static_cast<double>(
-        std::count_if(moved_.begin(), moved_.end(), [&](Time t) { return t > now - kBurst; }));
-    double left = std::min(mine - static_cast<double>(moved_.size()), in_a_burst(mine) - lately);
+    double left = std::min(mine - static_cast<double>(moved_.size()), in_a_burst(mine) - lately(moved_, now));
     return static_cast<std::size_t>(std::max(0.0, left));
   }
   if (fleet < 1 || settings_.moves_a_minute < 1) return 0;
@@ -286,16 +287,13 @@
 bool Planner::store_allows(Time now) const {
   if (settings_.store_a_minute <= 0) return true;
   double mine = settings_.store_a_minute / fleet_.balancers;
-  auto lately = [&](const std::deque<Time>& times) {
-    return std::count_if(times.begin(), times.end(), [&](Time t) { return t > now - kBurst; });
-  };
   return static_cast<double>(set_ups_.size() + to_come_.size()) + 1 <= mine &&
-         static_cast<double>(lately(set_ups_) + lately(to_come_)) + 1 <= in_a_burst(mine);
+         lately(set_ups_, now) + lately(to_come_, now) + 1 <= in_a_burst(mine);
 }
 
 // ---- Which -------------------------------------------------------------------------------------------
 
-bool Planner::may_move(const Held& held, const Worker&, double most_load, Time now) const {
+bool Planner::may_move(const Held& held, double most_load, Time now) const {
   Time age = now - held.since;
   return age >= settings_.settle && (!held.returned || age >= settings_.floor) && held.load <= most_load;
 }
@@ -309,7 +307,7 @@
   for (int i = 0; i < kLooked; ++i) {
     std::uint64_t id = w.held[any(random_)];
     const Held& held = connections_.at(id);
-    if (!may_move(held, w, most_load, now)) continue;
+    if (!may_move(held, most_load, now)) continue;
     double others = held.group == 0 ? 1 : w.groups.at(held.group);
     double cost = others / static_cast<double>(w.held.size());
     if (best == 0 || cost < best_cost) best = id, best_cost = cost;
@@ -333,7 +331,7 @@
   // Only as much leaves the full ones as the others have room for now, and of it a part each step.
   double fit = view.excess > 0 ? std::min(1.0, view.room / view.excess) : 0;
   double part = 1 - std::exp2(-step * kSecond / static_cast<double>(settings_.half));
-  double unit = work_a_level(view, now);
+  double unit = work_a_level(view);
   std::size_t left = allowance(now);
   bool due = false, gains = false, barred = false;
   // A worker at a time, from a random one on: a limit that is soon spent must not always spare the last.
--- a/src/rebalance/planner.h
+++ b/src/rebalance/planner.h
@@ -6,15 +6,16 @@
 // so all together move that part of the excess, however many they are. docs/rebalancing.md weighs the ways.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
+#include "fading.h"
 #include "rebalance/settings.h"
 
 namespace marblehub::rebalance {
@@ -76,7 +77,8 @@
   void follow(const Settings& settings) { settings_ = settings; }
 
   // ---- What it is shown.
-  void member(Time now, const Member& member);
+  void member(const Member& member);
+  void only(const std::unordered_set<std::string>& named);  // what a whole list does not name is gone
   void stands(Time now, const Connection& connection);
   void load_is(std::uint64_t id, double load);
   void gone(std::uint64_t id);
@@ -94,8 +96,6 @@
   double highest() const { return highest_; }
   double mean() const { return mean_; }
   std::size_t standing() const { return connections_.size(); }
-  // Moves that may still be made now under the limits of this balancer and the fleet.
-  std::size_t allowance(Time now);
 
  private:
   struct Held {  // a standing connection
@@ -136,12 +136,15 @@
   bool in_quiet_hours(Time now) const;
   Still gates(Time now, const View& view);
   Still judge_progress(Time now);
+  double held_load() const;
   double usual_load() const;
-  double work_a_level(const View& view, Time now) const;
-  bool may_move(const Held& held, const Worker& worker, double most_load, Time now) const;
+  double work_a_level(const View& view) const;
+  bool may_move(const Held& held, double most_load, Time now) const;
   std::uint64_t choose(Worker& worker, double most_load, Time now);
   void forget_old(Time now);
   void remove(std::unordered_map<std::uint64_t, Held>::iterator it);
+  // Moves that may still be made now under the limits of this balancer and the fleet.
+  std::size_t allowance(Time now) const;
   bool store_allows(Time now) const;
 
   Settings settings_;
@@ -151,14 +154,13 @@
   std::vector<Worker> workers_;  // never shrinks: an index stays good
   std::unordered_map<std::string, int> index_;
   std::unordered_map<std::uint64_t, Held> connections_;
-  std::deque<Time> moved_;          // by this planner, within the last minute
-  std::deque<Time> set_ups_;        // at this balancer, within the last minute
-  std::deque<Time> to_come_;        // set-ups that moves will make, within the last minute
-  double refused_ = 0, asked_ = 0;  // fading
-  Time faded_at_ = 0;
+  std::deque<Time> moved_;    // by this planner, within the last minute
+  std::deque<Time> set_ups_;  // at this balancer, within the last minute
+  std::deque<Time> to_come_;  // set-ups that moves will make, within the last minute
+  lemonspread::Faded refused_, asked_;
   bool paused_ = false, acting_ = false;
   Gate stale_, refusing_, overloaded_;
-  double gap_ = 0, highest_ = 0, lowest_ = 0, mean_ = 0;
+  double gap_ = 0, highest_ = 0, mean_ = 0;
   double watched_gap_ = 0;  // when the present try began
   Time watched_since_ = -1, rest_until_ = -1, last_plan_ = -1;
   int moved_since_ = 0, fruitless_ = 0;
--- a/src/rebalance/settings.cpp
+++ b/src/rebalance/settings.cpp
@@ -1,7 +1,5 @@
 #include "rebalance/settings.h"
 
-#include <algorithm>
-
 namespace marblehub::rebalance {
 namespace {
 
@@ -11,12 +9,6 @@
   return static_cast<Time>(options.number_or(key, least, static_cast<double>(absent) / 1e6) * 1e6);
 }
 
-double share(const Options& options, const char* key, double least, double absent) {
-  double value = options.number_or(key, least, absent);
-  if (value > 1) options.refuse(key, "a share from 0 to 1");
-  return value;
-}
-
 // hh:mm, as a minute of the day.
 int minute(const Options& options, const char* key) {
   const std::string& text = options.text(key);
@@ -35,7 +27,7 @@
   if (options.find("dry_run")) s.dry_run = options.flag("dry_run");
   s.moves_a_minute = options.number_or("moves_a_minute", 0.0, s.moves_a_minute);
   s.fleet_a_minute = options.number_or("fleet_moves_a_minute", 0.0, s.fleet_a_minute);
-  s.gap = share(options, "gap", 0.01, s.gap);
+  s.gap = options.share_or("gap", 0.01, s.gap);
   s.floor = seconds(options, "floor_s", 0, s.floor);
   s.settle = seconds(options, "settle_s", 0, s.settle);
   s.half = seconds(options, "half_s", 5, s.half);
@@ -46,8 +38,8 @@
   s.price = options.number_or("price", 0.0, s.price);
   s.store_a_minute = options.number_or("store_calls_a_minute", 0.0, s.store_a_minute);
   s.stale = seconds(options, "stale_s", 1, s.stale);
-  s.refusals = share(options, "refusals", 0.001, s.refusals);
-  s.overload = share(options, "overload", 0.1, s.overload);
+  s.refusals = options.share_or("refusals", 0.001, s.refusals);
+  s.overload = options.share_or("overload", 0.1, s.overload);
   s.patience = seconds(options, "patience_s", 10, s.patience);
   if (options.find("pause_file")) s.pause_file = options.text("pause_file");
   std::vector<std::string> unread = options.unread();
--- a/src/state.h
+++ b/src/state.h
@@ -2,26 +2,14 @@
 #pragma once
 
 #include <algorithm>
-#include <cmath>
 #include <string>
 #include <vector>
 
+#include "fading.h"
 #include "lemonspread/lemonspread.h"
 
 namespace lemonspread {
 
-// A figure that fades with time, to 1/e over its memory.
-struct Faded {
-  double value = 0;
-  Time since = 0;
-
-  double at(Time now, Time memory) const {
-    return value == 0 ? 0 : value * std::exp(-static_cast<double>(now - since) / static_cast<double>(memory));
-  }
-  void set(double to, Time now) { value = to, since = now; }
-  void add(double more, Time now, Time memory) { set(at(now, memory) + more, now); }
-};
-
 struct Request {
   int request_class = 0;
   Time deadline = 0;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -32,7 +32,7 @@
                             Fleet{balancers, i, 0.3, 30 * kSecond, static_cast<std::uint64_t>(i + 1)}, now);
   }
   void worker(const std::string& name, bool serving = true, Time started = 0) {
-    for (Planner& p : planners) p.member(now, {name, 1, started, serving});
+    for (Planner& p : planners) p.member({name, 1, started, serving});
     loads.emplace(name, 0);
   }
   std::uint64_t stand(int planner, const std::string& worker, double load = 1, std::uint64_t group = 0,
