Keep a group's connections on three workers chosen from the whole fleet

A regression of the reported loads on what stood at each worker gives 0.088 for a connection and 0.36 for a group on a fast worker: the pairs were more load than the connections.

Lines to blame, all harmless with three balancers and twelve workers: - choose_sample(): each balancer used its own seventh of the workers; a home of two of 83 is mostly outside of it, and then kOutside against kOutside drew any worker of that seventh. - pick(): what is outside a home counted 0.0005, but a home at a load of 0.6 only (1 - 0.6)^6 = 0.004, and 80 workers are outside: 4% to most calls left their home. - home(): the share of a group was taken from the two or three calls that a balancer sees. One that saw sixty gave the biggest group 14% of the fleet, though the fleet was loaded to a third. - place(): what one pick adds was multiplied by half the balancers. With 279 a worker's load rose by 6 to 17 with one call: "call 3 up at s- after 53 ms" is followed by "call 3 moves off s-" within a second.

Three connections, not half a fleet's, are reckoned in until the next report.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -88,6 +88,7 @@
 
 Exchange& Dispatcher::enter(Call call, ClientSide& client, WorkerSide& workers) {
   std::uint64_t id = next_id_++;
+  log::debug("call {} taken, group {:016x}", id, call.group);
   auto made = std::make_unique<Exchange>(*this, id, std::move(call), client, workers, now());
   return *calls_.emplace(id, std::move(made)).first->second;
 }
@@ -350,6 +351,10 @@
     if (!entry.address.empty()) worker.address = entry.address;
     set(worker, entry.backend.health);
     named.insert(entry.backend.address);
+    if (entry.backend.start_time > 0)
+      log::debug("registry: {} started {:.3f} s ago, weight {}, zone {}", entry.backend.address,
+                 static_cast<double>(now() - entry.backend.start_time) / kSecond, entry.backend.scale,
+                 entry.backend.zone);
     if (entry.backend.health != Health::serving)
       log::debug("registry: {} {}", entry.backend.address,
                  entry.backend.health == Health::draining ? "drains" : "is gone");
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -28,13 +28,12 @@
 constexpr double kSampleRelays = 8;   // relays a backend: enough that one relay's crowd does not fill it
 constexpr std::size_t kLooked = 128;  // candidates a draw looks at, or twice the root of the fleet if more
 constexpr double kOutside = 0.0005;   // weight outside the sample: a way out when all of it is in trouble
+constexpr double kTried = 1e-6;       // and of one that an earlier attempt of the same request was sent to
 
 // Groups. A backend pays for a group once, whether it holds one connection of it or all.
-constexpr double kGroupSlack = 1.2;  // the part of the fleet that a group keeps to, over its share
-constexpr double kGroupLeast = 2;    // backends of the usual size, should one of them fail
-constexpr double kGroupUnseen = 10;  // calls of other groups, as if seen: few calls tell no group's share
-constexpr double kGroupLate = 0.7;   // later than this part of the wanted time: the next takes its place
-constexpr Time kGroupMemory = 30 * kSecond;  // shares are taken over so long
+constexpr double kGroupLeast = 3;   // backends of the usual size: a crowd that comes at once, one that fails
+constexpr double kGroupLate = 0.7;  // later than this part of the wanted time: others take its place
+constexpr double kEased = 0.6, kFull = 0.95;  // loads: above the first others take it, at the second all
 
 // Probing.
 constexpr double kProbeBudget = 0.0045;  // points that probes may cost: under half of one in a hundred
@@ -52,7 +51,8 @@
 constexpr Time kReportMemory = 6 * kSecond;     // a load report is rarer and says more
 constexpr double kMostEvidence = 4;             // times the wanted time
 constexpr double kRoom = 6, kLeastRoom = 0.02;  // what is left of its capacity counts to this power
-constexpr double kNoted = 0.5, kFull = 0.9;     // loads: looked at oftener; given nothing more of a group
+constexpr double kNoted = 0.5;                  // a load: one above it is looked at oftener
+constexpr double kMeanwhile = 3;                // connections sent to one between two reports of it
 constexpr double kStuck = 4;                    // times its capacity: far over what clients ask for
 constexpr Time kNews = 2 * kSecond;             // only newer signs move connections
 constexpr Time kAdmissionNews = 5 * kSecond;    // or shut clients out
@@ -80,8 +80,6 @@
   std::vector<Backend> backends;  // never shrinks: an index stays good
   std::unordered_map<std::string, int> index;
   std::map<std::uint64_t, Request> requests;
-  std::map<std::uint64_t, Faded> group_asked;  // connections asked for in each group
-  Faded groups_asked;                          // and in all
   double usual_load = 0;  // mean load hinted or noted, to count connections in usual ones
   double requests_seen = 0, probes_sent = 0;
   Faded fresh_flow;             // load of new connections accepted; those that come back do not count
@@ -167,6 +165,7 @@
     });
     double part =
         std::max(kSampleLeast / static_cast<double>(listed.size()), kSampleRelays / settings.balancers);
+    if (settings.groups) part = 1;  // a group's home is chosen from all, or each relay would have its own
     double step = settings.me * 0.6180339887;  // golden: any run of neighbouring relays is spread evenly
     for (std::size_t from = 0, to = 0; from < listed.size(); from = to) {
       while (to < listed.size() && listed[to]->zone == listed[from]->zone) ++to;
@@ -253,8 +252,7 @@
   // At a stretched interval three misses would take minutes: whoever looks bad is probed again at once.
   void suspect(Backend& b) { b.probe_due = std::min(b.probe_due, now + jittered(kRecheck)); }
 
-  // What a message, a set-up or a report says of slowness counts as latency. A hung one is said to take
-  // seconds: unbounded, such a sign would outlast the trouble by half a minute.
+  // What is said of slowness counts as latency: bounded, or a hung one's would outlast the trouble by 30 s.
   double capped(double ms) const { return std::min(ms, kMostEvidence * shortest_aim_ms); }
   void worsen(Backend& b, double ms) { b.evidence.set(capped(std::max(evidence(b), ms)), now); }
   double evidence(const Backend& b) const {
@@ -291,25 +289,36 @@
     return true;
   }
 
-  // The backends that a request's group keeps to: enough for its share of the connections, in an order that
-  // its number and their names give, the same at all relays. One late, down or cold gives way to the next.
+  bool has_tried(const Request& r, int i) const {
+    return std::find(r.tried.begin(), r.tried.end(), i) != r.tried.end();
+  }
+
+  // Its weight as it fills up. An old report of fullness is not believed, or others would keep the group.
+  double ease(const Backend& b) const {
+    if (evidence(b) > kGroupLate * shortest_aim_ms) return 1e-9;
+    double level = now - b.report_at < kReportMemory ? b.level : std::min(b.level, kEased);
+    return std::pow(std::clamp((kFull - level) / (kFull - kEased), 0.01, 1.0), 4);
+  }
+
+  // The backends that a request's group keeps to, in an order that its number and their names give, the same
+  // at all relays: big ones first, as each pays for the group once. One that is full, late, down or cold
+  // gives way to the next: the group takes as many as it fills, and no relay need know how big it is.
   std::vector<char> home(const Request& r, const std::vector<int>& may) {
     std::vector<char> in(may.size(), 1);
     if (r.group == 0) return in;
     std::vector<std::pair<double, std::size_t>> ranked;
-    double scales = 0, least = 0;
+    double scales = 0, up = 0;
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
       if (b.down) continue;
-      scales += b.scale, least += 1, in[k] = 0;
-      if (spent(b) || evidence(b) > kGroupLate * shortest_aim_ms || b.level > kFull) continue;
+      scales += b.scale, up += 1, in[k] = 0;
+      if (spent(b)) continue;
       double u = (static_cast<double>(mixed(b.hash ^ r.group) >> 11) + 1) * 0x1p-53;
-      ranked.emplace_back(-std::log(u) / b.scale, k);
+      double weight = b.scale * b.scale * ease(b) * (has_tried(r, may[k]) ? kTried : 1);
+      ranked.emplace_back(-std::log(u) / weight, k);
     }
     std::sort(ranked.begin(), ranked.end());
-    double share =
-        group_asked[r.group].at(now, kGroupMemory) / (groups_asked.at(now, kGroupMemory) + kGroupUnseen);
-    double need = std::max(kGroupLeast / std::max(1.0, least), kGroupSlack * share) * scales;
+    double need = kGroupLeast / std::max(1.0, up) * scales;
     for (auto [score, k] : ranked) {
       if (need <= 0) break;
       need -= backends[may[k]].scale;
@@ -318,8 +327,7 @@
     return in;
   }
 
-  // In a big fleet each draw looks at a part, chosen anew; but a group's home is the same only over the
-  // whole.
+  // In a big fleet each draw looks at a part, chosen anew; a group's home is the same only over the whole.
   int pick(const Request& r) {
     std::size_t looked = std::max(kLooked, 2 * static_cast<std::size_t>(std::sqrt(near.size())));
     if (near.size() > looked && r.group == 0) {
@@ -332,11 +340,9 @@
 
   // Draws by the blend of active counts, recent connections and latency; -1: none may be used.
   int pick(const Request& r, std::vector<int> may, bool whole) {
-    std::size_t up = 0;
+    std::size_t up = 0, sampled = 0;
     std::erase_if(may, [&](int i) { return !allowed(backends[i], r); });
-    for (int i : may) up += !backends[i].down;
-    bool any_sampled = false;
-    for (int i : may) any_sampled |= backends[i].sampled && !backends[i].down;
+    for (int i : may) up += !backends[i].down, sampled += backends[i].sampled && !backends[i].down;
     if (may.empty()) return -1;
     if (up == 0)
       return whole ? may[next_in_turn++ % may.size()] : -1;  // all down: round robin, as without probes
@@ -345,7 +351,7 @@
     std::vector<double> recent(may.size());
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
-      if (b.down || (!b.sampled && any_sampled)) continue;
+      if (b.down || (!b.sampled && sampled > 0)) continue;
       recent[k] = b.recent.at(now, kRecentMemory);
       scales += b.scale, loads += b.load, recents += recent[k];
       level += 1;
@@ -360,7 +366,7 @@
     std::vector<char> at_home = home(r, may);
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
-      if (b.down) continue;
+      if (b.down || !at_home[k]) continue;
       double size = b.scale / scales;
       double ms = (b.latency > 0 ? b.latency : mean) + evidence(b) + (b.zone == settings.zone ? 0 : toll);
       double few_active = 1 / (1 + b.load / (size * level) / (1 + loads / level));
@@ -372,8 +378,7 @@
       weight[k] *= std::pow(std::clamp(1 - b.level, kLeastRoom, 1.0), kRoom);
       if (spent(b)) weight[k] = 0;
       if (!b.sampled) weight[k] *= kOutside;
-      if (!at_home[k]) weight[k] *= kOutside;
-      if (std::find(r.tried.begin(), r.tried.end(), may[k]) != r.tried.end()) weight[k] *= 1e-6;
+      if (has_tried(r, may[k])) weight[k] *= kTried;
       total += weight[k];
     }
     double drawn = uniform() * total;
@@ -420,11 +425,7 @@
     r.request_class = event.request_class;
     r.deadline = now + event.expires_in;
     r.returned = event.returned;
-    if (settings.groups && event.group != 0) {
-      r.group = event.group;
-      group_asked[r.group].add(1, now, kGroupMemory);
-      groups_asked.add(1, now, kGroupMemory);
-    }
+    if (settings.groups) r.group = event.group;
     if (event.load_hint > 0) r.load = event.load_hint / learn_usual(event.load_hint);
     return r;
   }
@@ -476,7 +477,8 @@
     if (tries_left == 1 || left - patience < settings.connect_timeout_us) patience = left;
     Backend& b = backends[i];
     if (look_first(b, r)) return;
-    b.level += 0.5 * settings.balancers * r.load * share_of_one / b.scale;  // until the next report
+    // Until the next report. Of many relays few send to the same one meanwhile: all would take it for stuck.
+    b.level += std::min(0.5 * settings.balancers, kMeanwhile) * r.load * share_of_one / b.scale;
     b.recent.add(r.load, now, kRecentMemory);
     b.cold_tokens -= r.load;
     r.attempts += 1;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -9,6 +9,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "log/log.h"
+
 namespace marblehub::net {
 namespace {
 
@@ -178,6 +180,7 @@
     listener_.no_room_.add();
     return say_and_close("BUSY\r\n");
   }
+  log::debug("asked {}", line);  // the id and the key by which a client is followed over all balancers
   core::Call call;
   call.request_class = request_class;
   call.expires_in = std::min(opening->wait_ms, kLongestWait) * 1000;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -84,6 +84,50 @@
   for (auto& [group, workers] : by_group) CHECK(workers.size() <= 4);
 }
 
+// Each balancer of a big fleet once looked at its own seventh of the workers, in which a group's home is
+// mostly not found, and drew any worker of that seventh: 300 balancers scattered every group over all.
+TEST_CASE("a group of 300 balancers and 90 workers keeps to a few of these, and goes on when they fill") {
+  Settings s = Bench::settings();
+  s.groups = true, s.balancers = 300;
+  std::vector<BackendEntry> ninety;
+  for (int i = 0; i < 90; ++i) {
+    ninety.push_back(Bench::entry("w" + std::to_string(i), Health::serving));
+    ninety.back().scale = i % 3 == 0 ? 4 : 1.5;
+  }
+  std::set<std::string> home, next;
+  int on_big = 0;
+  std::vector<std::unique_ptr<Bench>> all;
+  for (s.me = 0; s.me < s.balancers; ++s.me) {
+    Bench& b = *all.emplace_back(std::make_unique<Bench>(s, 1000 + static_cast<std::uint64_t>(s.me)));
+    b.list(ListForm::all, ninety);
+    std::string worker = b.ask(7);
+    home.insert(worker);
+    on_big += std::stoi(worker.substr(1)) % 3 == 0;
+  }
+  CHECK(home.size() <= 6);
+  CHECK(on_big >= 200);  // each worker pays for the group once: few big ones pay less often
+  for (auto& b : all) {
+    for (const std::string& worker : home) b->report(worker, 0.97);
+    next.insert(b->ask(7));
+  }
+  CHECK(next.size() <= 8);  // all go on to the same ones
+  for (const std::string& worker : home) CHECK(next.count(worker) == 0);
+}
+
+// What one balancer sends was reckoned as if half of the fleet sent the same: 300 balancers took each worker
+// for stuck once they had used it, and moved off it whoever stood there.
+TEST_CASE("one of 300 balancers does not take a worker for stuck because it has sent one call there") {
+  Settings s = Bench::settings();
+  s.balancers = 300;
+  Bench b(s);
+  b.list(ListForm::all, twelve());
+  for (int i = 1; i <= 12; ++i) b.hold(std::to_string(i), 1), b.report(std::to_string(i), 0.5);
+  b.run(1'000'000);
+  for (int i = 0; i < 3; ++i) b.ask();
+  b.run(10'000'000);
+  CHECK(b.moved.empty());
+}
+
 // Where probes are dear the last report may be minutes old: a call asks its worker first, and goes elsewhere
 // if that one is full.
 TEST_CASE("a call asks a worker of which nothing new is known before it is sent there") {
