--- a/tests/quic_peers_test.cpp
+++ b/tests/quic_peers_test.cpp
@@ -39,8 +39,8 @@
   CHECK(stage.run(1500, [&] { return c.all_answered_once(); }));
   CHECK_FALSE(c.over());
   CHECK(stage.counter("marblehub_quic_unknown_ids_total") == 0);
-  stage.run(250);  // the gauges are set five times a second
-  CHECK(stage.counter("marblehub_connections") == 1);
+  // The gauges are set five times a second, and later on a loaded machine.
+  CHECK(stage.run(3000, [&] { return stage.counter("marblehub_connections") == 1; }));
   CHECK(stage.counter("marblehub_quic_sockets") <= (proxy ? 1 : 3));
 }
 
