Send cold workers less in their first seconds, when a lost zone's clients all come at once

Ruled out: warmth squared (in the tests of a hundred balancers no call at all reached a cold worker). Now 1.7 x warmth^1.5.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -60,8 +60,8 @@
 // Cold backends.
 constexpr Time kListLag = 5 * kSecond;      // by then the list has told of a restart, if there was one
 constexpr Time kAskedMemory = 2 * kSecond;  // a crowd: more calls a second over so long than are held
-constexpr double kColdPart = 1.5;  // times its warmth, of a warm backend's; its last report guards the rest
-constexpr Time kFreshCold = 300 * kMillisecond;  // its report may be so old: others send there too
+constexpr double kColdPart = 1.7, kColdPower = 1.5;  // of its warmth: all may come in its first seconds
+constexpr Time kFreshCold = 300 * kMillisecond;      // its report may be so old: others send there too
 
 // Moves and admission.
 constexpr Time kMoveOffDead = kSecond;         // a connection leaves a down backend within about so long
@@ -407,7 +407,8 @@
     double crowd = std::max(1.0, asked.at(now, kAskedMemory) / (kAskedMemory / kSecond) / load);
     for (Backend& b : backends) {
       if (b.restart_unsure && now - b.cold_since > kListLag) b.chill(0, false);
-      b.open = warmth(b) >= 1 || uniform() < kColdPart * warmth(b) * roomy / scales / crowd;
+      double part = kColdPart * std::pow(warmth(b), kColdPower) * roomy / scales / crowd;
+      b.open = warmth(b) >= 1 || uniform() < part;
     }
   }
 
