Derive whether a cold worker is open, and take the mean size of workers from the draw

It is a question now, and only the draw of a cold one is kept (`drawn`). home() summed the sizes that its one caller had just summed; they are handed in. Request::returned was written and no longer read.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -147,7 +147,6 @@
     if (entry.start_time > b.listed_start) {  // it has restarted: what was known of the old process is void
       b.listed_start = entry.start_time;
       b.chill(entry.start_time, false);
-      b.open = warmth(b) >= 1;
       b.up();
       b.evidence = b.report = Faded();
     }
@@ -302,25 +301,22 @@
 
   // The backends that a request's group keeps to, in an order that its number and their names give, the same
   // at all relays: big ones first, as each pays for the group once. One that is full, late, down or cold
-  // gives way to the next: the group takes as many as it fills, and no relay need know how big it is.
-  std::vector<char> home(const Request& r, const std::vector<int>& may) {
-    std::vector<char> in(may.size(), 1);
+  // gives way to the next: the group takes as many as it fills, and no relay need know how big it is. `usual`
+  // is the mean scale of those that are up.
+  std::vector<char> home(const Request& r, const std::vector<int>& may, double usual) {
+    std::vector<char> in(may.size(), r.group == 0);
     if (r.group == 0) return in;
     std::vector<std::pair<double, std::size_t>> ranked;
-    double scales = 0, up = 0;
-    for (int i : may)
-      if (!backends[i].down) scales += backends[i].scale, up += 1;
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
-      in[k] = b.down;
-      if (b.down || !b.open) continue;
+      if (b.down || !open(b)) continue;
       double u = (static_cast<double>(mixed(b.hash ^ r.group) >> 11) + 1) * 0x1p-53;
-      double big = warmth(b) < 1 ? scales / up : b.scale;  // a crowd would be a big cold one's end
+      double big = warmth(b) < 1 ? usual : b.scale;  // a crowd would be a big cold one's end
       double weight = b.scale * big * ease(b) * (has_tried(r, may[k]) ? kTried : 1);
       ranked.emplace_back(-std::log(u) / weight, k);
     }
     std::sort(ranked.begin(), ranked.end());
-    double need = kGroupLeast * scales / up;
+    double need = kGroupLeast * usual;
     for (auto [score, k] : ranked) {
       if (need <= 0) break;
       need -= backends[may[k]].scale * warmth(backends[may[k]]);
@@ -365,7 +361,7 @@
     double toll = kToll * settings.price_cross_zone * shortest_aim_ms;
     double total = 0;
     std::vector<double> weight(may.size());
-    std::vector<char> at_home = home(r, may);
+    std::vector<char> at_home = home(r, may, scales / level);
     for (std::size_t k = 0; k < may.size(); ++k) {
       const Backend& b = backends[may[k]];
       if (b.down || !at_home[k]) continue;
@@ -378,7 +374,7 @@
       double blend = kActiveShare * few_active + kRecentShare * few_recent + kLatencyShare * quick;
       weight[k] = b.scale * std::pow(blend, kSharpness) * std::pow(0.25, b.misses);
       weight[k] *= std::pow(std::clamp(1 - b.level, kLeastRoom, 1.0), kRoom);
-      weight[k] *= b.open ? warmth(b) : 0;
+      weight[k] *= open(b) ? warmth(b) : 0;
       if (!b.sampled) weight[k] *= kOutside;
       if (has_tried(r, may[k])) weight[k] *= kTried;
       total += weight[k];
@@ -395,6 +391,7 @@
     return warm_part(b.cold_since, now, settings.cold_share, settings.warm_within_us);
   }
 
+  bool open(const Backend& b) const { return warmth(b) >= 1 || b.drawn; }
   bool has_room(const Backend& b) const { return !b.down && (warmth(b) < 1 || b.level < kEased); }
 
   // A relay uses a cold backend in some of its sweeps only, drawn anew: all together send it the part of the
@@ -405,10 +402,10 @@
     for (const Backend& b : backends)
       if (b.listed && b.sampled) scales += b.scale, load += b.load, roomy += has_room(b) ? b.scale : 0;
     double crowd = std::max(1.0, asked.at(now, kAskedMemory) / (kAskedMemory / kSecond) / load);
+    double part = kColdPart * roomy / scales / crowd;
     for (Backend& b : backends) {
       if (b.restart_unsure && now - b.cold_since > kListLag) b.chill(0, false);
-      double part = kColdPart * std::pow(warmth(b), kColdPower) * roomy / scales / crowd;
-      b.open = warmth(b) >= 1 || uniform() < part;
+      if (warmth(b) < 1) b.drawn = uniform() < part * std::pow(warmth(b), kColdPower);
     }
   }
 
@@ -423,7 +420,6 @@
     Request& r = requests[event.id];
     r.request_class = event.request_class;
     r.deadline = now + event.expires_in;
-    r.returned = event.returned;
     if (settings.groups) r.group = event.group;
     if (event.load_hint > 0) r.load = event.load_hint / learn_usual(event.load_hint);
     return r;
@@ -481,7 +477,7 @@
     // Until the next report. Of many relays few send to the same one meanwhile: all would take it for stuck.
     b.level += std::min(0.5 * settings.balancers, kMeanwhile) * r.load * share_of_one / b.scale;
     b.recent.add(r.load, now, kRecentMemory);
-    b.open = warmth(b) >= 1;
+    b.drawn = false;
     r.attempts += 1;
     r.backend = i;
     r.out = true;
--- a/src/state.h
+++ b/src/state.h
@@ -31,7 +31,6 @@
   bool out = false;       // the latest attempt has no result yet
   bool counted = false;   // it is in its backend's active count
   bool open = false;      // the connection stands
-  bool returned = false;  // its client came back after a break or a move
   bool answered = false;  // nothing more is owed or sent
   Time ran_at = -1;       // when the first attempt that may have run was sent; -1: none may have
   int ran_on = -1;
@@ -52,7 +51,7 @@
   Time listed_start = 0;
   Time cold_since = 0;          // 0: warm since long ago
   bool restart_unsure = false;  // cold only because it came back from down
-  bool open = true;             // to calls of this relay; while cold, in some sweeps only
+  bool drawn = false;           // while cold: this relay may send it a call in this sweep
 
   std::vector<double> timings;  // the last probe timings in ms, a ring
   std::size_t timing_at = 0;
@@ -82,7 +81,7 @@
   // Cold since then; 0: warm.
   void chill(Time since, bool unsure) {
     cold_since = since;
-    open = false;
+    drawn = false;
     restart_unsure = unsure;
   }
 
