--- /dev/null
+++ b/tests/support/exchange_player.cpp
@@ -0,0 +1,410 @@
+#include "support/exchange_player.h"
+
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "support/program.h"
+
+namespace marblehub::test {
+namespace {
+
+constexpr int kPatience = 4000;
+
+struct Conn {
+  int fd = -1;
+  std::string in;
+  enum { open, fin, rst } end = open;
+  bool call = false;
+  bool stalled = false;  // its peer stopped reading
+  ~Conn() { ::close(fd); }
+
+  void read() {
+    char buffer[8192];
+    while (end == open && !stalled) {
+      ssize_t n = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+      if (n <= 0) end = n == 0 ? fin : rst;
+      if (n > 0) in.append(buffer, static_cast<std::size_t>(n));
+    }
+  }
+  std::optional<std::string> line() {
+    std::size_t at = in.find("\r\n");
+    if (at == std::string::npos) return std::nullopt;
+    std::string text = in.substr(0, at);
+    in.erase(0, at + 2);
+    return text;
+  }
+  void send(const std::string& text) { ::send(fd, text.data(), text.size(), MSG_NOSIGNAL); }
+  void reset() {
+    linger hard{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    ::close(fd);
+    fd = -1;
+  }
+};
+
+json::json_pointer pointer_to(std::string path) {  // of a key such as limits.sockets
+  std::replace(path.begin(), path.end(), '.', '/');
+  return json::json_pointer("/" + path);
+}
+
+int signal_number(const std::string& name) {
+  static const std::map<std::string, int> numbers = {
+      {"TERM", SIGTERM}, {"INT", SIGINT}, {"HUP", SIGHUP}, {"USR1", SIGUSR1}, {"USR2", SIGUSR2}};
+  return numbers.at(name);
+}
+
+std::string with_line_ends(std::string text) {
+  for (std::size_t at; (at = text.find("~n~")) != std::string::npos;) text.replace(at, 3, "\r\n");
+  return text;
+}
+
+bool matches(const std::string& pattern, const std::string& text) {
+  std::size_t t = 0;
+  for (char p : pattern) {
+    if (p == '~') {
+      if (t >= text.size() || !isdigit(text[t])) return false;
+      while (t < text.size() && isdigit(text[t])) ++t;
+    } else if (t >= text.size() || text[t++] != p) {
+      return false;
+    }
+  }
+  return t == text.size();
+}
+
+class Play {
+ public:
+  Play() {
+    registry_fd_ = bound(SOCK_STREAM | SOCK_NONBLOCK);
+    ::listen(registry_fd_, 16);
+  }
+  ~Play() {
+    if (registry_fd_ >= 0) ::close(registry_fd_);
+    for (auto& [name, w] : workers_)
+      if (w.fd >= 0) ::close(w.fd);
+  }
+
+  void step(const std::string& text) {
+    std::istringstream in(text);
+    std::string who, verb, rest;
+    in >> who >> verb;
+    std::getline(in >> std::ws, rest);
+    if (who == "set") return set(verb, json::parse(rest));
+    if (who == "worker") return add_worker(verb);
+    if (who == "start") return start();
+    if (who == "wait") return pump_for(std::stoi(verb));
+    if (who == "registry") return tell(verb, rest);
+    if (who == "signal") return program_->signal(signal_number(verb));
+    if (who == "freeze") return program_->freeze();
+    if (who == "thaw") return program_->signal(SIGCONT);
+    if (who == "running") {
+      REQUIRE(program_->exit_code() == -1);
+      return;
+    }
+    if (who == "crowd") return crowd(std::stoi(verb), rest);
+    if (who == "calls") {
+      pump();
+      REQUIRE(workers_.at(verb).calls == std::stoi(rest));
+      return;
+    }
+    if (who == "reload") return reload(verb, rest);
+    if (who == "version") return void(index_ = std::stoi(verb));
+    if (who == "asked" || who == "heard")
+      return until([&] { return registry_ && registry_->in.starts_with("GET " + verb); },
+                   who == "heard" ? 1 : 2 * kPatience);
+    if (who == "log")
+      return until([&] { return program_->log().find(text.substr(4)) != std::string::npos; }, kPatience);
+    if (who == "exit")
+      return until([&] { return program_->exit_code() == std::stoi(verb); },
+                   rest.empty() ? kPatience : std::stoi(rest));
+    if (who == "counter") return until([&] { return program_->counter(verb) == std::stod(rest); }, kPatience);
+    if (who == "atleast")
+      return until(
+          [&] {
+            program_->signal(SIGUSR1);
+            return program_->counter(verb) >= std::stod(rest);
+          },
+          kPatience);
+    if (who == "files") return void(files_ = static_cast<rlim_t>(std::stoi(verb)));
+    if (who == "quiet") {
+      pump();
+      INFO("had come: " << conns_.at(verb)->in);
+      REQUIRE(conns_.at(verb)->in.empty());
+      return;
+    }
+    if (workers_.count(who)) {
+      if (verb == "mute") workers_[who].mute = true;
+      if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
+      if (verb == "full") fill_queue(workers_[who]);
+      if (verb == "room") make_queue_room(workers_[who]);
+      return;
+    }
+    if (verb[0] == '>') rest = with_line_ends(rest);
+    if (verb == ">" || verb == ">>") return conn(who).send(rest + (verb == ">" ? "\r\n" : ""));
+    if (verb == "<") return expect(who, rest);
+    if (verb == "fin") return void(::shutdown(conn(who).fd, SHUT_WR));
+    if (verb == "rst") return conn(who).reset();
+    if (verb == "connect") return void(conn(who));
+    if (verb == "stall") return void(conn(who).stalled = true);
+    if (verb == "read") return void(conn(who).stalled = false);
+    if (verb == "bytes") return send_bytewise(conn(who), rest + "\r\n");
+    if (verb == "ends" || verb == "discards") {
+      Conn& c = conn(who);
+      std::size_t limit = rest.find(" [");
+      until(
+          [&] {
+            return (verb == "discards" || c.in.empty()) &&
+                   c.end == (rest.starts_with("fin") ? Conn::fin : Conn::rst);
+          },
+          limit == std::string::npos ? kPatience : std::stoi(rest.substr(limit + 2)));
+      return;
+    }
+    FAIL("a line that is not understood: " << text);
+  }
+
+ private:
+  struct Worker {
+    int fd = -1;
+    bool mute = false, accepts = true;
+    std::vector<std::shared_ptr<Conn>> all;
+    std::vector<std::unique_ptr<Conn>> fillers;  // connections that occupy its listen queue
+    int calls = 0;
+  };
+
+  void set(const std::string& path, json value) { settings_[pointer_to(path)] = std::move(value); }
+  void add_worker(const std::string& name) {
+    Worker& w = workers_[name];
+    w.fd = bound(SOCK_STREAM | SOCK_NONBLOCK);
+    ::listen(w.fd, 64);
+    entries_[name] = {{"name", name},  {"address", text_of(port_of(w.fd))},
+                      {"zone", "a"},   {"type", "m"},
+                      {"group", 0},    {"status", "ready"},
+                      {"weight", 1.0}, {"since_ms", 0}};
+  }
+  void start() {
+    json known = json::array();
+    for (auto& [name, entry] : entries_) known.push_back(entry);
+    program_ = std::make_unique<Program>(known, settings_, port_of(registry_fd_), "/nonexistent",
+                                         "/nonexistent", files_, "/nonexistent", index_);
+  }
+  void tell(const std::string& name, const std::string& status) {
+    if (name == "503") {
+      fail_next_ = true;
+    } else if (name == "hold" || name == "release") {
+      registry_held_ = name == "hold";
+    } else if (name == "raw" || name == "body") {
+      answer_literally(name, with_line_ends(status));
+    } else if (name == "fin") {
+      ::shutdown(registry_->fd, SHUT_WR);
+    } else if (name == "rst") {
+      registry_->reset();
+      registry_.reset();
+    } else if (name == "down") {
+      registry_down();
+    } else if (name == "up") {
+      registry_up();
+    } else if (name == "version") {
+      index_ = std::stoi(status) - 1;
+    } else if (name == "hush") {
+      registry_->in.clear();
+    } else {
+      entries_[name]["status"] = status;
+      changed_.push_back(entries_[name]);
+    }
+    pump();
+  }
+  void reload(const std::string& path, const std::string& value) {
+    if (path == "registry") {
+      ::close(registry_fd_);
+      registry_.reset();
+      registry_fd_ = bound(SOCK_STREAM | SOCK_NONBLOCK);
+      ::listen(registry_fd_, 16);
+      program_->config()["discovery"] = text_of(port_of(registry_fd_));
+      whole_ = true;
+    } else if (!value.empty()) {
+      program_->config()[pointer_to(path)] = json::parse(value);
+    }
+    if (path.empty())
+      program_->remove_config();
+    else
+      program_->write(value.empty() && path != "registry" ? path : program_->config().dump());
+    program_->signal(SIGHUP);
+  }
+  void answer_literally(const std::string& form, const std::string& text) {
+    until([&] { return registry_ && registry_->in.find("\r\n\r\n") != std::string::npos; }, kPatience);
+    registry_->in.clear();
+    if (form == "raw") return registry_->send(text);
+    registry_->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+  }
+  void registry_down() {
+    registry_port_ = port_of(registry_fd_);
+    ::close(std::exchange(registry_fd_, -1));
+    if (registry_) registry_->reset();
+    registry_.reset();
+  }
+  void registry_up() {
+    registry_fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(registry_fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address = loopback(registry_port_);
+    REQUIRE(::bind(registry_fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    ::listen(registry_fd_, 16);
+  }
+  // A connect to a full listen queue hangs: its SYN is dropped and sent again a second later.
+  void fill_queue(Worker& worker) {
+    ::listen(worker.fd, 0);
+    for (int i = 0; i < 2; ++i) {
+      auto filler = std::make_unique<Conn>();
+      filler->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      sockaddr_in to = loopback(port_of(worker.fd));
+      ::connect(filler->fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
+      worker.fillers.push_back(std::move(filler));
+    }
+    worker.accepts = false;
+  }
+  void make_queue_room(Worker& worker) {
+    ::listen(worker.fd, 64);
+    worker.fillers.clear();
+    worker.accepts = true;
+  }
+  void send_bytewise(Conn& to, const std::string& text) {
+    int on = 1;
+    setsockopt(to.fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    for (char byte : text) {
+      to.send(std::string(1, byte));
+      until([&] { return bytes_untaken(to.fd) == 0; }, kPatience);
+    }
+  }
+  // What the program has not acknowledged; the kernel acknowledges what it has queued for the program, so a
+  // short pause lets the program read it as a piece of its own.
+  int bytes_untaken(int fd) {
+    int left = 0;
+    ioctl(fd, TIOCOUTQ, &left);
+    return left;
+  }
+  void crowd(int count, const std::string& text) {
+    for (int i = 0; i < count; ++i) {
+      Conn& c = conn("crowd" + std::to_string(++crowd_));
+      if (!text.empty()) c.send(with_line_ends(text));
+    }
+  }
+  // One call out at a time is answered when there is news; a first call at once.
+  void serve_registry() {
+    int fd = registry_fd_ < 0 ? -1 : ::accept4(registry_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      registry_ = std::make_unique<Conn>();
+      registry_->fd = fd;
+    }
+    if (!registry_) return;
+    registry_->read();
+    if (registry_held_) return;
+    if (registry_->in.find("\r\n\r\n") == std::string::npos) return;
+    if (fail_next_) {
+      registry_->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+      fail_next_ = false;
+    } else if (std::exchange(whole_, false)) {  // a registry that has moved is asked for all it knows
+      REQUIRE(registry_->in.starts_with("GET /registry/instances HTTP"));
+      json all = json::array();
+      for (auto& [name, entry] : entries_) all.push_back(entry);
+      changed_.clear();
+      answer({{"index", ++index_}, {"snapshot", true}, {"endpoints", all}});
+    } else if (!changed_.empty()) {
+      json body = {
+          {"index", ++index_}, {"snapshot", false}, {"endpoints", std::exchange(changed_, json::array())}};
+      answer(body);
+    } else {
+      return;
+    }
+    registry_->in.clear();
+  }
+  void answer(const json& body) {
+    std::string text = body.dump();
+    registry_->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+  }
+  void pump() {
+    serve_registry();
+    for (auto& [name, w] : workers_) {
+      int fd = w.fd >= 0 && w.accepts ? ::accept4(w.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) : -1;
+      if (fd >= 0) {
+        w.all.push_back(std::make_shared<Conn>());
+        w.all.back()->fd = fd;
+      }
+      for (auto& c : w.all) {
+        c->read();
+        if (!c->call && c->in.starts_with("OPEN")) {
+          c->call = true;
+          conns_[name + "." + std::to_string(++w.calls)] = c;
+        }
+        while (!c->call && !w.mute && c->in.starts_with("STATS\r\n")) {
+          c->line();
+          c->send("PONG latency_ms=2,util=0.1,x0=0.1\r\n");
+        }
+      }
+    }
+    for (auto& [name, c] : conns_) c->read();
+  }
+  void pump_for(int ms) {
+    for (std::int64_t end = now_ms() + ms; now_ms() < end; usleep(1000)) pump();
+  }
+  template <class Condition>
+  void until(Condition condition, int ms) {
+    for (std::int64_t end = now_ms() + ms; now_ms() < end; usleep(1000)) {
+      pump();
+      if (condition()) return;
+    }
+    program_->signal(SIGUSR1);  // what it has counted tells the cause
+    usleep(200000);
+    FAIL("it did not come to that within " << ms << " ms; the log: " << program_->log());
+  }
+  void expect(const std::string& who, std::string pattern) {
+    int ms = kPatience;
+    if (std::size_t at = pattern.rfind(" ["); at != std::string::npos) {
+      ms = std::stoi(pattern.substr(at + 2));
+      pattern.resize(at);
+    }
+    std::optional<std::string> got;
+    bool worker = who.find('.') != std::string::npos;
+    until([&] { return (!worker || conns_.count(who)) && (got = conn(who).line()).has_value(); }, ms);
+    INFO(who << " got: " << *got);
+    REQUIRE(matches(pattern, *got));
+  }
+  Conn& conn(const std::string& who) {
+    auto& c = conns_[who];
+    if (!c) {
+      c = std::make_shared<Conn>();
+      c->fd = connected(program_->port);
+    }
+    return *c;
+  }
+
+  json settings_ = settings(), changed_ = json::array();
+  std::map<std::string, json> entries_;
+  std::map<std::string, Worker> workers_;
+  std::map<std::string, std::shared_ptr<Conn>> conns_;
+  int registry_fd_, registry_port_ = 0, index_ = 1, crowd_ = 0;
+  bool fail_next_ = false, whole_ = false, registry_held_ = false;
+  rlim_t files_ = 1024;
+  std::unique_ptr<Conn> registry_;
+  std::unique_ptr<Program> program_;
+};
+
+}  // namespace
+
+void play_exchange(const std::filesystem::path& path) {
+  Play play;
+  std::ifstream file(path);
+  REQUIRE(file);
+  std::string text;
+  for (int line = 1; std::getline(file, text); ++line) {
+    if (text.empty() || text[0] == '#') continue;
+    INFO(path.filename().string() << " line " << line << ": " << text);
+    play.step(text);
+  }
+}
+
+}  // namespace marblehub::test
--- /dev/null
+++ b/tests/support/exchange_player.h
@@ -0,0 +1,56 @@
+// Plays a recorded exchange against the started program over loopback sockets: one step a line.
+//
+// The stand-in client, worker and service discovery act only when a step says so, and each step that waits
+// does so for an observed state, not for a time. `freeze` stops the program's process; whatever the steps
+// send until `thaw` is then found by the program in a single turn of its loop, in the order of the steps.
+//
+// clang-format off
+//   set PATH JSON       a setting, before the start
+//   files N             descriptors allowed, before the start
+//   worker W            a stand-in worker
+//   start               starts the program
+//   c1 > TEXT           c1 connects if need be and sends a line; >> sends no line end; ~n~ is one
+//   c1 bytes TEXT       the same line, one byte a segment, each taken by the program before the next is sent
+//   c1 connect          connects and sends nothing
+//   c1 < TEXT [N]       must come next, within N ms; ~ stands for digits
+//   W.1 < TEXT          the same at W's first call; W.1 > TEXT is its answer
+//   c1 fin | c1 rst     ends its side
+//   c1 stall | c1 read  stops reading; reads again
+//   c1 ends fin|rst [N] the program must end it like this, within N ms
+//   c1 discards fin|rst [N]  the same, whatever has come before
+//   crowd N TEXT        N further clients connect and send TEXT; with no TEXT they send nothing
+//   W closed | W mute   refuses calls; answers no probe
+//   W full | W room     its listen queue is full, so that connects hang; takes connections again
+//   calls W N           so many calls have reached W, no more and no fewer
+//   registry W STATE    told to the program's watch; registry 503: the next call fails
+//   registry hold       no call is answered until `registry release`
+//   registry raw TEXT   the call that is out is answered with exactly this
+//   registry body TEXT  the same as the body of a complete answer
+//   registry fin|rst    the connection of the call that is out ends
+//   registry down|up    its address refuses connections, and open ones are reset; it listens there again
+//   registry version N  of the next answer
+//   reload registry     the registry moves to another address, which a new configuration names; SIGHUP
+//   reload PATH JSON    the same with another value; "reload" alone takes the file away, with a text writes it
+//   version N           of the list it starts with, before the start; 1 unless said
+//   registry hush       what it was asked last is never answered
+//   heard TEXT          the same as asked, and it has been asked by now
+//   asked TEXT          what the registry is asked last must come to begin with
+//   log TEXT            must come to stand in the log
+//   wait N              milliseconds, and all goes on
+//   quiet c1            nothing may have come
+//   signal NAME         TERM, INT, USR1, USR2, HUP
+//   freeze | thaw       the program's process is stopped; goes on
+//   running             the program has not exited
+//   counter NAME N      printed on USR1 or at exit; atleast NAME N: N or more
+//   exit N [MS]         the program must exit so, within MS milliseconds
+// clang-format on
+#pragma once
+
+#include <filesystem>
+
+namespace marblehub::test {
+
+// Plays every step of the file; a step that fails fails the running test case with the file and line.
+void play_exchange(const std::filesystem::path& file);
+
+}  // namespace marblehub::test
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -159,6 +159,13 @@
   std::string config_file() const { return folder_ + "/config.json"; }
   void remove_config() { std::remove((folder_ + "/config.json").c_str()); }
   void signal(int number) { ::kill(pid_, number); }
+  // Stops the process; what reaches its sockets until SIGCONT is all ready at its next turn.
+  void freeze() {
+    ::kill(pid_, SIGSTOP);
+    int status = 0;
+    if (waitpid(pid_, &status, WUNTRACED) != pid_ || !WIFSTOPPED(status))
+      throw std::runtime_error("the program ended instead of stopping");
+  }
   // The exit code; -1 while it runs, 128 and more where a signal ended it.
   int exit_code() {
     int status = 0;
