Let the exchange player fill the registry's queue, send pieces and count its connections

The crossings of discovery need a connect to it that hangs, answers that come in pieces, stop or never end, and a look at which connection is ended how. The steps are listed at the end of tests/support/exchange_player.h. A reload of the registry no longer closes the old connection by itself: the program has to end it, and a call that is out there stays unanswered.

--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -119,6 +119,7 @@
                    who == "heard" ? 1 : 2 * kPatience);
     if (who == "log")
       return until([&] { return program_->log().find(text.substr(4)) != std::string::npos; }, kPatience);
+    if (who == "logged") return logged(std::stoi(verb), rest);
     if (who == "exit")
       return until([&] { return program_->exit_code() == std::stoi(verb); },
                    rest.empty() ? kPatience : std::stoi(rest));
@@ -140,8 +141,10 @@
     if (workers_.count(who)) {
       if (verb == "mute") workers_[who].mute = true;
       if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
-      if (verb == "full") fill_queue(workers_[who]);
-      if (verb == "room") make_queue_room(workers_[who]);
+      Worker& w = workers_[who];
+      if (verb == "full") fill_queue(w.fd, w.fillers);
+      if (verb == "room") make_queue_room(w.fd, w.fillers);
+      if (verb == "full" || verb == "room") w.accepts = verb == "room";
       return;
     }
     if (verb[0] == '>') rest = with_line_ends(rest);
@@ -195,10 +198,25 @@
   void tell(const std::string& name, const std::string& status) {
     if (name == "503") {
       fail_next_ = true;
+    } else if (name == "piece") {
+      REQUIRE(registry_);
+      registry_->send(with_addresses(with_line_ends(status)));
+    } else if (name == "full") {
+      fill_queue(registry_fd_, registry_fillers_);
+      registry_accepts_ = false;
+    } else if (name == "room") {
+      make_queue_room(registry_fd_, registry_fillers_);
+      registry_accepts_ = true;
+    } else if (name == "within") {
+      return until([&] { return registry_asked(); }, std::stoi(status));
+    } else if (name == "joins") {
+      REQUIRE(registry_joins_ == std::stoi(status));
+    } else if (name == "ends") {
+      return registry_ends(status);
     } else if (name == "hold" || name == "release") {
       registry_held_ = name == "hold";
     } else if (name == "raw" || name == "body") {
-      answer_literally(name, with_line_ends(status));
+      answer_literally(name, with_addresses(with_line_ends(status)));
     } else if (name == "fin") {
       ::shutdown(registry_->fd, SHUT_WR);
     } else if (name == "rst") {
@@ -221,9 +239,11 @@
   void reload(const std::string& path, const std::string& value) {
     if (path == "registry") {
       ::close(registry_fd_);
-      registry_.reset();
+      if (registry_) registry_before_.push_back(std::move(registry_));
       registry_fd_ = bound(SOCK_STREAM | SOCK_NONBLOCK);
       ::listen(registry_fd_, 16);
+      registry_fillers_.clear();
+      registry_accepts_ = true;
       program_->config()["discovery"] = text_of(port_of(registry_fd_));
       whole_ = true;
     } else if (!value.empty()) {
@@ -256,21 +276,46 @@
     ::listen(registry_fd_, 16);
   }
   // A connect to a full listen queue hangs: its SYN is dropped and sent again a second later.
-  void fill_queue(Worker& worker) {
-    ::listen(worker.fd, 0);
+  void fill_queue(int listener, std::vector<std::unique_ptr<Conn>>& fillers) {
+    ::listen(listener, 0);
     for (int i = 0; i < 2; ++i) {
       auto filler = std::make_unique<Conn>();
       filler->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-      sockaddr_in to = loopback(port_of(worker.fd));
+      sockaddr_in to = loopback(port_of(listener));
       ::connect(filler->fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
-      worker.fillers.push_back(std::move(filler));
+      fillers.push_back(std::move(filler));
+    }
+  }
+  void make_queue_room(int listener, std::vector<std::unique_ptr<Conn>>& fillers) {
+    ::listen(listener, 64);
+    fillers.clear();
+  }
+  bool registry_asked() const {
+    return registry_ && registry_->in.starts_with("GET ") &&
+           registry_->in.find("\r\n\r\n") != std::string::npos;
+  }
+  void registry_ends(const std::string& how) {
+    std::size_t limit = how.find(" [");
+    auto end = how.starts_with("fin") ? Conn::fin : Conn::rst;
+    until([&] { return registry_ && registry_->end == end; },
+          limit == std::string::npos ? kPatience : std::stoi(how.substr(limit + 2)));
+  }
+  std::string with_addresses(std::string text) {
+    const std::string sign = "~address ";
+    for (std::size_t at; (at = text.find(sign)) != std::string::npos;) {
+      std::size_t end = text.find('~', at + sign.size());
+      std::string worker = text.substr(at + sign.size(), end - at - sign.size());
+      text.replace(at, end + 1 - at, text_of(port_of(workers_.at(worker).fd)));
     }
-    worker.accepts = false;
+    return text;
   }
-  void make_queue_room(Worker& worker) {
-    ::listen(worker.fd, 64);
-    worker.fillers.clear();
-    worker.accepts = true;
+  void logged(int times, const std::string& text) {
+    pump();
+    std::string log = program_->log();
+    int found = 0;
+    for (std::size_t at = 0; (at = log.find(text, at)) != std::string::npos; at += text.size()) ++found;
+    INFO("the log: " << log);
+    REQUIRE(found == times);
   }
   void send_bytewise(Conn& to, const std::string& text) {
     int on = 1;
@@ -295,8 +340,11 @@
   }
   // One call out at a time is answered when there is news; a first call at once.
   void serve_registry() {
-    int fd = registry_fd_ < 0 ? -1 : ::accept4(registry_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int fd = registry_fd_ < 0 || !registry_accepts_
+                 ? -1
+                 : ::accept4(registry_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
+      ++registry_joins_;
       registry_ = std::make_unique<Conn>();
       registry_->fd = fd;
     }
@@ -387,7 +435,10 @@
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::shared_ptr<Conn>> conns_;
   int registry_fd_, registry_port_ = 0, index_ = 1, crowd_ = 0;
-  bool fail_next_ = false, whole_ = false, registry_held_ = false;
+  bool fail_next_ = false, whole_ = false, registry_held_ = false, registry_accepts_ = true;
+  int registry_joins_ = 0;
+  std::vector<std::unique_ptr<Conn>> registry_fillers_;
+  std::vector<std::unique_ptr<Conn>> registry_before_;  // at former addresses; the program ends them itself
   rlim_t files_ = 1024;
   std::unique_ptr<Conn> registry_;
   std::unique_ptr<Program> program_;
--- a/tests/support/exchange_player.h
+++ b/tests/support/exchange_player.h
@@ -43,6 +43,12 @@
 //   running             the program has not exited
 //   counter NAME N      printed on USR1 or at exit; atleast NAME N: N or more
 //   exit N [MS]         the program must exit so, within MS milliseconds
+//   registry piece TEXT sent as it is, whether or not a call is out; ~address W~ is where worker W listens
+//   registry full|room  its listen queue is full, so that connects hang; takes connections again
+//   registry within N   the next call must have come within N ms, counted from here; `asked` tells which it is
+//   registry joins N    so many connections have been taken by the registry, no more and no fewer
+//   registry ends fin|rst [N]  the program must end the connection of the call that is out like this
+//   logged N TEXT       stands in the log N times, no more and no fewer
 // clang-format on
 #pragma once
 
