Bound the pause between calls to discovery by 3 s from the last call, not 8 s from its end

Cause: on(MembersEvent) doubled the pause after a refused call up to 8 s and spread it by a quarter, and counted it from the refusal. After an outage the next call could come 10 s after discovery was back, and after a watch given up later than the 10 s at which its news counts as told. What discovery has counts as told 6 s after it can be reached. Change: the pause is at least 0.75 to 1.25 s from the refusal and 0.75 to 1.25 times 1, 2, then 3 s from the call that was refused, so a call that took long is not paid for twice, and a watch that fell silent is asked again within 1.25 s whatever failed before. The test that wanted at most 11 calls in 40 s and pauses of 8 s contradicts the 6 s: it is replaced by one that bounds the calls (10 to 14) and the longest pause from both sides (2.5 to 4 s).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -13,6 +13,7 @@
 
 constexpr Time kMillisecond = 1000, kSecond = 1'000'000;
 constexpr Time kSweep = 50 * kMillisecond;  // how often held requests, probes and moves are looked at
+constexpr Time kTrackBackoff = 3 * kSecond;  // between calls to discovery: news counts 6 s after its return
 
 constexpr Time kProbeInterval = 5 * kSecond;  // stretched where probes are dear
 constexpr std::size_t kWindow = 20;           // timings in the mean
@@ -95,7 +96,7 @@
   std::set<std::uint64_t> waiting;  // requests not answered yet, and some that were since the last sweep
   Time sweep_due = -1;              // -1: not begun
   bool tracking = false, track_out = false;
-  Time track_due = 0, track_backoff = kSecond;
+  Time track_due = 0, track_sent = 0, track_backoff = kSecond;
 
   Impl(Settings s, std::uint64_t seed, Time at)
       : Dice{std::mt19937_64(seed)}, settings(std::move(s)), now(at), began(at) {
@@ -116,8 +117,8 @@
     track_out = false;
     if (event.form == ListForm::refused) {  // one scarce service for all: later each time, not in step
       tracking = false;
-      track_due = now + jittered(track_backoff);
-      track_backoff = std::min(2 * track_backoff, 8 * kSecond);
+      track_due = std::max(now + jittered(kSecond), track_sent + jittered(track_backoff));
+      track_backoff = std::min(2 * track_backoff, kTrackBackoff);
       return;
     }
     if (event.form == ListForm::remembered) {
@@ -181,7 +182,7 @@
 
   void ask_for_list() {
     if (!settings.ask_registry || tracking || track_out || now < track_due) return;
-    track_out = true, actions->push_back(Track{});
+    track_out = true, track_sent = now, actions->push_back(Track{});
   }
 
   double seconds_served() const { return static_cast<double>(now - began) / kSecond; }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -807,18 +807,24 @@
   EXPECT_EQ(relay.tracks, 2) << "subscribed: no further call";
 }
 
-TEST(Discovery, RefusedAgainAndAgainTheCallsGrowRare) {
+TEST(Discovery, RefusedAgainAndAgainTheCallsGrowRareButNeverTooRare) {
   Settings s = plain_settings();
   s.ask_registry = true;
   Relay relay(s);
   relay.list({backend(0)}, ListForm::remembered);
+  Time last = 0, longest = 0;
   for (int i = 0; i < 400; ++i) {
     int before = relay.tracks;
     relay.run_for(100 * kMs);
-    if (relay.tracks > before) relay.send(MembersEvent{ListForm::refused, nullptr});
+    if (relay.tracks == before) continue;
+    relay.send(MembersEvent{ListForm::refused, nullptr});
+    if (last > 0) longest = std::max(longest, relay.now - last);
+    last = relay.now;
   }
-  EXPECT_GE(relay.tracks, 5);
-  EXPECT_LE(relay.tracks, 11) << "1, 2, 4 and then every 8 s or so in 40 s";
+  EXPECT_GE(relay.tracks, 10);
+  EXPECT_LE(relay.tracks, 14) << "1, 2 and then every 3 s or so in 40 s";
+  EXPECT_GE(longest, 2500 * kMs) << "they grow rare";
+  EXPECT_LE(longest, 4 * kSec) << "news counts as told 6 s after discovery is back";
 }
 
 TEST(Discovery, APushedListIsNeverAskedFor) {
