Refuse a list without its version or workers, or with an address that is none

Cause: list_from took a missing version for 0, so that the whole list was asked for again and again; a missing or misformed list of endpoints for an empty one, which ended every worker; an address that cannot be spoken to was found out only when a call went there; and a since_ms past the range of microseconds overflowed. Change: each is refused with its key, and the list held stays in force.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 
 #include <fstream>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -106,9 +107,12 @@
 WorkerList list_from(const Options& options) {
   using lemonspread::Health;
   WorkerList list;
-  list.index = options.number_or<std::int64_t>("index", 0, 0);
+  constexpr std::int64_t kLatestStart = std::numeric_limits<std::int64_t>::max() / 1000;  // in microseconds
+  list.index = options.number<std::int64_t>("index", 0);
   list.snapshot = options.flag("snapshot");
   auto count = options.number_or<std::size_t>("endpoints.count", 0, 0);
+  // Taken for an empty one, a list that is cut or of another form would end every worker.
+  if (count == 0 && !options.text("endpoints").empty()) options.refuse("endpoints", "a list of workers");
   for (std::size_t i = 0; i < count; ++i) {
     std::string path = "endpoints." + std::to_string(i) + ".";
     WorkerEntry entry;
@@ -117,10 +121,13 @@
         path + "status",
         {{"ready", Health::serving}, {"draining", Health::draining}, {"gone", Health::deleted}});
     if (const std::string* zone = options.find(path + "zone")) entry.backend.zone = *zone;
-    if (const std::string* address = options.find(path + "address")) entry.address = *address;
+    const std::string* address = options.find(path + "address");
+    if (address && !address->empty()) entry.address = address_at(options, path + "address");
     entry.backend.cell = options.number_or<std::int64_t>(path + "group", -1, -1);
     entry.backend.scale = options.number_or<double>(path + "weight", 0, 1);
-    entry.backend.start_time = options.number_or<std::int64_t>(path + "since_ms", 0, 0) * 1000;
+    auto since_ms = options.number_or<std::int64_t>(path + "since_ms", 0, 0);
+    if (since_ms > kLatestStart) options.refuse(path + "since_ms", "milliseconds since 1970");
+    entry.backend.start_time = since_ms * 1000;
     list.workers.push_back(std::move(entry));
   }
   return list;
