Give a silent registry up in time, and take no answer that is older, late or surplus

Seen: a call that need not wait, and a connect that hangs, were given up only after 8.6 s, the patience of a watch; an answer that had begun and stopped, or came in bytes for ever, too. What is missed meanwhile counts as told 6 s after the silence. An older list on a watch was taken as news: a draining worker became ready again. A second answer in the segment of the first lost its head, and its rest failed the next call. After a stall of the process calls were given up, or sent on by a timer, before what lay in the registry's socket was read. Change (src/net/registry_watch.cpp): 1.2 s for a connect, 3 s for a call without hold_ms, 2 s from the first byte of an answer to its last; the 8.6 s of a watch count from when it is written. Older lists are passed over and the whole list is asked for, at once, and as after a failed call if that does not help. Surplus bytes cost their connection. The socket is read before a call is given up, before timers send calls (src/main.cpp) and before others that are ready in the same turn. Ruled out, with tests: cut answers (length, chunk, head, none), 503 with a body, answers to calls given up, unreadable lists, versions that go back after a reload, SIGHUP within an answer, a connect and a silence, and workers named twice. Tests: tests/crossings/discovery; connect_hangs, silent_first_call, answer_stops, answer_trickles, given_up_then_answered, two_answers, older_changes, older_whole and older_again fail with the program as it was.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -67,6 +67,9 @@
 
   void run() {
     loop_.before_wait([this] {
+      // A call whose time has come is not sent to a worker of which the registry has told otherwise
+      // meanwhile.
+      if (dispatcher_.next_due() <= loop_.now()) registry_.read_now();
       dispatcher_.advance();
       dispatcher_.reap();
       return dispatcher_.next_due() - loop_.now();
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -28,6 +28,8 @@
   void follow(std::string address);
 
   void track() override;
+  // Takes what has come by now without waiting for the loop.
+  void read_now();
 
   void connected() override;
   void received(std::string_view bytes) override;
@@ -36,7 +38,9 @@
  private:
   void call();
   void drop_call();  // what is out is heard of no more
+  void out_of_time();
   void complete();
+  void ask_anew();
   void fail(const char* why);
 
   Loop& loop_;
@@ -48,6 +52,9 @@
   http_parser parser_;
   std::string body_;
   bool out_ = false, closed_ = false, first_ = true;
+  bool sent_ = false, answering_ = false;  // of the call that is out: written; the first byte has come
+  bool received_ = false;                  // since it was last cleared
+  bool asked_anew_ = false;  // an answer older than the list held has come, and no sound one of a watch since
 };
 
 }  // namespace marblehub::net
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -39,6 +39,9 @@
   void connect(const sockaddr_in& to);  // a failure is told as an ending
   void write(std::string_view bytes);
   void read_on(bool on);
+  void goes_first() {
+    io_.priority(EV_MAXPRI);
+  }  // before others that are ready at once; to be called before connect
   std::size_t backlog() const { return out_.size() - sent_; }
   bool unsent() const { return unsent_; }  // a connect that failed here, for want of a descriptor or the like
 
