Open the watch at once, and again at once, where lists are pushed

Seen: with registry_mode push the program never asked its discovery; the list of the start stayed in force for ever. Cause: the module asks for lists only where they are asked for, and nobody else opened the watch over HTTP. Change: src/main.cpp opens it before the loop runs and again 50 ms after it failed: what the agent has counts as told whether or not a watch is open, and sends to a worker that leaves end within 250 ms. The module is unchanged. Test: discovery/pushed fails without it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,6 +27,8 @@
 // A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
 constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
 constexpr Time kPlanEvery = 1'000'000;
+// To an agent that pushes lists; sends to a worker that leaves must end within 250 ms, watched or not.
+constexpr Time kAgentAgain = 50'000;
 
 class Program {
  public:
@@ -37,6 +39,7 @@
         room_(startup_.sockets),
         probes_(loop_, startup_.settings.connect_timeout_us),
         registry_(loop_, startup_.registry, startup_.known),
+        agent_again_(loop_, [this] { registry_.track(); }),
         dispatcher_(startup_, loop_, probes_, registry_, metrics_),
         workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
         listener_(loop_, dispatcher_, workers_, address(), room_, metrics_),
@@ -62,7 +65,7 @@
           dispatcher_.probe_result(worker, rtt, outcome, report);
         });
     registry_.on_news({[this](const config::WorkerList& list) { dispatcher_.list_told(list); },
-                       [this] { dispatcher_.list_refused(); }});
+                       [this] { list_refused(); }});
   }
 
   void run() {
@@ -78,6 +81,7 @@
     log::info("{} listens on {}", startup_.name, startup_.listen);
     net::SignalGate hangups(SIGHUP);
     if (rebalance_) plan_tick_.start(kPlanEvery);
+    if (list_is_pushed()) registry_.track();
     loop_.run();
     print();
   }
@@ -87,6 +91,15 @@
     return *net::parse_address(startup_.listen);  // checked when it was decoded
   }
 
+  // Where lists are pushed, the module asks for none: what the agent of this machine has counts as told, so a
+  // watch is held open all the time.
+  bool list_is_pushed() const { return !startup_.settings.ask_registry; }
+
+  void list_refused() {
+    dispatcher_.list_refused();
+    if (list_is_pushed()) agent_again_.start(kAgentAgain);
+  }
+
   // A file that may be absent: then what it would turn on is off.
   static std::optional<config::Options> optional_file(const std::string& path) {
     if (!std::filesystem::exists(path)) return std::nullopt;
@@ -253,6 +266,7 @@
   net::Room room_;
   net::Probes probes_;
   net::RegistryWatch registry_;
+  net::TimerWatch agent_again_;
   core::Dispatcher dispatcher_;
   net::WorkerSide workers_;
   net::Listener listener_;
