Count the grace of a drain from before a stall, and send nothing to a former address

Cause: may_begin counted the grace in which a connect under way may still send from when the list was read. After a stall of the process that is later than when it was written, from which the rule counts. And a worker that came back under its name at another address counted as ready for a connect to its old one. Change: Dispatcher::learn notes the moment of the turn before, the earliest at which the list can have come; may_begin also compares the address with the one that the connect went to, with the same grace.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -70,6 +70,7 @@
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
   timers_.push({now() + kWatchEvery, Due::watch});
+  advanced_at_ = now();
   tell_list(ListForm::remembered, startup.known);
 }
 
@@ -151,7 +152,8 @@
   int attempt = exchange.attempts_++;
   delegations_.add();
   timers_.push({now() + wait, Due::attempt, exchange.id_, attempt});
-  exchange.delegation_ = exchange.workers_.delegate(exchange, worker, address_of(worker), wait);
+  exchange.address_ = address_of(worker);
+  exchange.delegation_ = exchange.workers_.delegate(exchange, worker, exchange.address_, wait);
 }
 
 void Dispatcher::submit(const Submit& action) {
@@ -161,12 +163,14 @@
 }
 
 // A connect may take a while: by then the worker may have been told to drain. Nothing new is sent to it.
-bool Dispatcher::may_begin(const std::string& worker) const {
+bool Dispatcher::may_begin(const std::string& worker, const std::string& address) const {
   auto it = known_.find(worker);
-  bool may = it == known_.end() || it->second.health == Health::serving ||
-             clock_.now() - it->second.leaving_since < kDrainGrace;
-  if (!may) held_back_.add();
-  return may;
+  if (it == known_.end()) return true;
+  const Worker& w = it->second;
+  bool leaves = w.health != Health::serving && now() - w.leaving_since >= kDrainGrace;
+  bool moved = w.address != address && now() - w.moved_since >= kDrainGrace;  // what was there has ended
+  if (leaves || moved) held_back_.add();
+  return !leaves && !moved;
 }
 
 void Dispatcher::established(Exchange& exchange) {
@@ -372,13 +376,16 @@
   if (watch_) watch_->members(list);
   if (gate_) gate_->members(list);
   auto set = [this](Worker& worker, Health health) {
-    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = now();
+    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = advanced_at_;
     worker.health = health;
   };
   std::unordered_set<std::string> named;
   for (const config::WorkerEntry& entry : list.workers) {
     Worker& worker = known_[entry.backend.address];
-    if (!entry.address.empty()) worker.address = entry.address;
+    if (!entry.address.empty() && entry.address != worker.address) {
+      worker.address = entry.address;
+      worker.moved_since = advanced_at_;
+    }
     set(worker, entry.backend.health);
     named.insert(entry.backend.address);
     if (entry.backend.start_time > 0)
@@ -463,6 +470,7 @@
 
 void Dispatcher::advance() {
   Time at = now();
+  advanced_at_ = at;
   while (!timers_.empty() && timers_.top().when <= at) {
     Timer timer = timers_.top();
     timers_.pop();
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -66,6 +66,7 @@
     std::string address;  // where this balancer reaches it
     lemonspread::Health health = lemonspread::Health::serving;
     Time leaving_since = 0;  // when it was first told to drain or be gone
+    Time moved_since = 0;    // when it was told to be at another address than before
   };
   const std::unordered_map<std::string, Worker>& workers() const { return known_; }
   std::uint64_t list_version() const { return list_version_; }  // grows with every list or change
@@ -87,7 +88,7 @@
   };
 
   // From exchanges.
-  bool may_begin(const std::string& worker) const;
+  bool may_begin(const std::string& worker, const std::string& address) const;
   void established(Exchange& exchange);
   void message_took(Exchange& exchange, Time delay);
   void load_changed(Exchange& exchange, double load);
@@ -125,6 +126,7 @@
   lemonspread::Balancer balancer_;
   std::unordered_map<std::string, Worker> known_;
   std::uint64_t list_version_ = 0;
+  Time advanced_at_ = 0;  // the earliest that anything heard since can have been told
   std::map<std::uint64_t, std::unique_ptr<Exchange>> calls_;
   std::vector<std::unique_ptr<Exchange>> ended_;
   // Standing ones with a message out or a move to make, and some that had: of many thousands that stand few
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -42,7 +42,7 @@
   if (delegation_) delegation_->hold(on);
 }
 
-bool Exchange::may_begin() const { return dispatcher_.may_begin(worker_); }
+bool Exchange::may_begin() const { return dispatcher_.may_begin(worker_, address_); }
 
 void Exchange::worker_up(std::string_view receipt) {
   if (state_ != State::waiting || !client_) return;
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -65,7 +65,7 @@
   int attempts_ = 0;
   int handed_tries_ = 0;
   std::shared_ptr<const std::set<std::string>> only_;  // workers it may use; none: any
-  std::string worker_;                                 // of the latest delegation
+  std::string worker_, address_;                       // of the latest delegation
   Time sent_at_ = 0, deadline_;
   bool moving_ = false;  // to be told to move as soon as the stream stands between two messages
   bool client_between_ = true;
