Take the drain grace and the longest deadline from the settings

Two times of one deployment stood in constants. dispatcher.cpp let a call begin at a draining worker for 150 ms (kDrainGrace, "of the 250 ms"), whatever invariants.stop_sending_within_us said: at 50 ms that is 140 ms after the news, at 500 ms calls were stopped 350 ms early. main.cpp moved clients over 1.5 s and ended at 3.3 s after SIGTERM (kMoveSpan, kLastMoment), which fits deadlines of 3 s and more: the protocol lets SIGKILL come the longest deadline and 0.7 s after SIGTERM, 1.7 s where that is 1 s, and connections still held then are lost.

Now the settings are read: calls may begin up to 100 ms before the grace ends, and the last moment is the longest give_up_us, at most 3 s, and 0.3 s. The span of the moves is at most three fifths of what is left by then. Where deadlines are 3 s and the grace 250 ms all is as before. A setting that is absent counts strictly for the grace (0) and as 3 s for a deadline.

--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -40,6 +40,7 @@
 struct RequestClass {
   std::string name;
   Time slo_us = 0;          // an answer within this earns the full worth
+  Time give_up_us = 0;      // a client waits no longer than this over all its tries; 0: not stated
   Time message_aim_us = 0;  // wanted time of a message on an open connection; 0: none stated
   Repeat repeat = Repeat::safe;
   DedupScope dedup_scope = DedupScope::all;
@@ -61,6 +62,7 @@
   bool may_decline_with_pause = true;
   Time max_pause_us = 0;  // the longest pause that a client honours
   Time connect_timeout_us = 250000;
+  Time stop_sending_within_us = 0;  // of the news that a backend drains or is gone; 0: at once
 
   double cold_share = 1;        // a backend starts at this share of its capacity or above
   Time warm_within_us = 0;      // and is warm no later than this
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -20,6 +20,7 @@
   s.may_decline_with_pause = options.flag("limits.retry_after");
   s.max_pause_us = options.number<Time>("limits.max_retry_after_us", 0);
   s.connect_timeout_us = options.number<Time>("limits.connect_timeout_us", 0);
+  s.stop_sending_within_us = options.number_or<Time>("invariants.stop_sending_within_us", 0, 0);
   s.cold_share = options.number<double>("invariants.cold_share", 0);
   s.warm_within_us = options.number<Time>("invariants.warm_within_us", 0);
   s.price_probe = options.number_or<double>("prices.probe", 0, 0);
@@ -41,6 +42,7 @@
     RequestClass c;
     c.name = options.text(path + "name");
     c.slo_us = options.number<Time>(path + "slo_us", 0);
+    c.give_up_us = options.number_or<Time>(path + "give_up_us", 0, 0);
     c.repeat = options.choice<Repeat>(
         path + "repeat", {{"safe", Repeat::safe}, {"keyed", Repeat::keyed}, {"unsafe", Repeat::unsafe}});
     c.dedup_scope = options.choice<DedupScope>(
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -15,7 +15,9 @@
 // A connection whose worker no longer answers must have moved within 7 s; clients speak every 2 s.
 constexpr Time kSilenceBound = 5 * kSecond;
 constexpr Time kMidLineBound = 700 * kMillisecond;  // a worker that stops inside a line holds no move up
-constexpr Time kDrainGrace = 150 * kMillisecond;    // of the 250 ms in which sends to a leaving worker end
+// A list is told when the registry writes it, and is handled here a little later: of the time in which sends
+// to a leaving worker have to end so much is not used.
+constexpr Time kDrainReserve = 100 * kMillisecond;
 constexpr Time kHandoverAgain = 300 * kMillisecond;
 constexpr int kHandoverTries = 4;
 
@@ -164,7 +166,7 @@
 bool Dispatcher::may_begin(const std::string& worker) const {
   auto it = known_.find(worker);
   bool may = it == known_.end() || it->second.health == Health::serving ||
-             clock_.now() - it->second.leaving_since < kDrainGrace;
+             clock_.now() - it->second.leaving_since < settings_.stop_sending_within_us - kDrainReserve;
   if (!may) held_back_.add();
   return may;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // marblehub: wires the core, its fronts and its watchers together and runs them.
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -25,9 +26,24 @@
 using core::Time;
 
 // A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
-constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
+constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kTick = 50'000;
+// By the protocol, SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it
+// is longer, and 0.7 s more. The program has answered and ended a while before.
+constexpr Time kLongestDeadline = 3'000'000, kKillAfterDeadline = 700'000, kBeforeKill = 400'000;
 constexpr Time kPlanEvery = 1'000'000;
 
+// When a balancer that retires answers what is still unanswered, counted from its SIGTERM.
+Time last_moment(const lemonspread::Settings& settings) {
+  Time longest = 0;
+  for (const lemonspread::RequestClass& c : settings.classes)
+    longest = std::max(longest, c.give_up_us > 0 ? c.give_up_us : kLongestDeadline);
+  Time at = std::min(longest, kLongestDeadline) + kKillAfterDeadline - kBeforeKill;
+  return std::max(at, kStillComing + kTick);
+}
+
+// Over how long standing clients are told to move. The rest of the time is left to those set up meanwhile.
+Time move_span(Time last_moment) { return std::min(kMoveSpan, (last_moment - kStillComing) * 3 / 5); }
+
 class Program {
  public:
   Program(std::string path, config::Loaded loaded)
@@ -229,22 +245,23 @@
       moving_ = true;
       listener_.close();
       if (quic_) quic_->close();
-      dispatcher_.retire(kMoveSpan);
+      dispatcher_.retire(move_span_);
     }
-    if (moving_ && since > kStillComing + kMoveSpan) dispatcher_.retire(0);  // those that were set up since
+    if (moving_ && since > kStillComing + move_span_) dispatcher_.retire(0);  // those that were set up since
     bool empty = moving_ && dispatcher_.standing() == 0 && dispatcher_.unanswered() == 0;
     if (empty && last_seen_empty_ == 0) {
       last_seen_empty_ = since;
       if (fleet_) fleet_->leave();
     }
-    if (since > kLastMoment) dispatcher_.answer_all();
-    if (since > kLastMoment + kTick || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
+    if (since > last_moment_) dispatcher_.answer_all();
+    if (since > last_moment_ + kTick || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
     retire_tick_.start(kTick);
   }
 
   const std::string path_;
   const config::Startup startup_;
   const config::Values values_;  // of the file it was started with
+  const Time last_moment_ = last_moment(startup_.settings), move_span_ = move_span(last_moment_);
   metrics::Registry metrics_;
   net::Loop loop_;
   net::Room room_;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -10,6 +10,7 @@
   if (s.max_attempts < 1) return "limits.max_attempts";
   if (s.max_pause_us < 0) return "limits.max_retry_after_us";
   if (s.connect_timeout_us < 0) return "limits.connect_timeout_us";
+  if (s.stop_sending_within_us < 0) return "invariants.stop_sending_within_us";
   if (!(s.cold_share > 0 && s.cold_share <= 1)) return "invariants.cold_share";
   if (s.warm_within_us < 0) return "invariants.warm_within_us";
   if (!sound(s.price_probe)) return "prices.probe";
@@ -18,6 +19,7 @@
   for (std::size_t i = 0; i < s.classes.size(); ++i) {
     std::string path = "request_classes." + std::to_string(i) + ".";
     if (s.classes[i].slo_us < 0) return path + "slo_us";
+    if (s.classes[i].give_up_us < 0) return path + "give_up_us";
     if (s.classes[i].window_us < 0) return path + "window_us";
     if (s.classes[i].message_aim_us < 0) return "specifics.message_aim_us";
   }
--- /dev/null
+++ b/tests/drain_grace_test.cpp
@@ -0,0 +1,54 @@
+// How long a call under way may still begin at a worker that has been told to drain: as long as the settings
+// say.
+#include <catch2/catch.hpp>
+
+#include "fleet/service/dispatched.h"
+#include "support/program.h"
+
+namespace marblehub::test {
+namespace {
+
+constexpr Time kMillisecond = 1000;
+
+Settings settings_with_grace(Time grace) {
+  json document = settings();
+  document["invariants"]["stop_sending_within_us"] = grace;
+  return config::settings_from(config::flatten(document.dump(), ""));
+}
+
+config::WorkerList draining(const BackendEntry& worker) {
+  config::WorkerList list;
+  list.workers.push_back({worker, "127.0.0.1:1"});
+  list.workers.back().backend.health = Health::draining;
+  return list;
+}
+
+core::Call call() {
+  core::Call call;
+  call.expires_in = 2500 * kMillisecond;
+  return call;
+}
+
+}  // namespace
+
+TEST_CASE("nothing begins at a draining worker after the grace that the settings give") {
+  for (Time grace : {0, 50, 120, 250, 500}) {
+    INFO("grace of " << grace << " ms");
+    Dispatched d(settings_with_grace(grace * kMillisecond), 1);
+    core::Exchange& exchange = d.dispatcher->take(call(), d, d);
+    d.run(100 * kMillisecond);
+    REQUIRE(d.sent.size() == 1);
+    REQUIRE(exchange.may_begin());
+    Time told = d.at;
+    d.dispatcher->list_told(draining(test::workers(1).front()));
+    Time last = -1;  // milliseconds after the news at which the call might still have begun
+    for (Time waited = 0; waited <= 1000; waited += 10) {
+      d.at = told + waited * kMillisecond;
+      if (exchange.may_begin()) last = waited;
+    }
+    CHECK(last < grace);
+    CHECK(last >= grace - 120);
+  }
+}
+
+}  // namespace marblehub::test
--- a/tools/application.cpp
+++ b/tools/application.cpp
@@ -56,6 +56,7 @@
       "connect_timeout_us": 250000   // a connect that takes longer has failed
     }},
     "invariants": {{
+      "stop_sending_within_us": 250000, // nothing new goes to a leaving worker after this
       "cold_share": 0.13,            // a worker starts at this part of what it can do
       "warm_within_us": 24000000     // and can do everything after this long
     }},
