Watch the registry from the start where lists are pushed

Where registry_mode is push the program never asked: the module sends Track only where lists are asked for (decide.cpp, ask_for_list), and RegistryWatch::call ran only on Track or after a SIGHUP that moved the registry.

RegistryWatch is told whether lists are pushed. If so it calls at once, and again 200 ms after each failure, as the agent answers at no cost. Where lists are asked for nothing changes.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -52,7 +52,7 @@
         values_(std::move(loaded.values)),
         room_(startup_.sockets),
         probes_(loop_, startup_.settings.connect_timeout_us),
-        registry_(loop_, startup_.registry, startup_.known),
+        registry_(loop_, startup_.registry, startup_.known, !startup_.settings.ask_registry),
         dispatcher_(startup_, loop_, probes_, registry_, metrics_),
         workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
         listener_(loop_, dispatcher_, workers_, address(), room_, metrics_),
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -11,6 +11,8 @@
 // soon. The module asks again up to 1.25 s after a failed call, and the answer takes its time too.
 constexpr Time kHold = 8'000'000;
 constexpr Time kPatience = kHold + 600'000;
+constexpr Time kAgentAgain =
+    200'000;  // an agent that is away costs nothing to ask, and is back at any moment
 constexpr std::int64_t kNoVersion = -1;  // the first version of a list may well be 0
 constexpr std::size_t kLongestBody = 8 * 1024 * 1024;
 
@@ -35,12 +37,15 @@
 
 }  // namespace
 
-RegistryWatch::RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known)
+RegistryWatch::RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known, bool pushed)
     : loop_(loop),
       address_(std::move(address)),
       index_(known.workers.empty() ? kNoVersion : known.index),
       patience_(loop, [this] { fail("no answer in time"); }),
-      next_(loop, [this] { call(); }) {}
+      next_(loop, [this] { call(); }),
+      pushed_(pushed) {
+  if (pushed_) next_.start(0);
+}
 
 RegistryWatch::~RegistryWatch() { close(); }
 
@@ -131,6 +136,7 @@
   log::info("registry call failed: {}", why);
   next_.stop();
   drop_call();
+  if (pushed_) next_.start(kAgentAgain);
   handler_.refused();
 }
 
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -19,7 +19,10 @@
     std::function<void()> refused;
   };
   // Only what has changed since the list `known` is asked for; the whole list where that one is empty.
-  RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known);
+  // `pushed`: the address is an agent's on this machine, which has been sent the lists and answers at no
+  // cost. It is watched from the start and asked again soon after each failure, without a word from the
+  // module.
+  RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known, bool pushed);
   ~RegistryWatch() override;
   void on_news(Handler handler) { handler_ = std::move(handler); }
   void close();
@@ -47,6 +50,7 @@
   TimerWatch patience_, next_;
   http_parser parser_;
   std::string body_;
+  const bool pushed_;
   bool out_ = false, closed_ = false, first_ = true;
 };
 
