--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -15,7 +15,9 @@
 // A connection whose worker no longer answers must have moved within 7 s; clients speak every 2 s.
 constexpr Time kSilenceBound = 5 * kSecond;
 constexpr Time kMidLineBound = 700 * kMillisecond;  // a worker that stops inside a line holds no move up
-constexpr Time kDrainGrace = 150 * kMillisecond;    // of the 250 ms in which sends to a leaving worker end
+// A list is told when the registry writes it, and is handled here a little later: of the time in which sends
+// to a leaving worker have to end so much is not used.
+constexpr Time kDrainReserve = 100 * kMillisecond;
 constexpr Time kHandoverAgain = 300 * kMillisecond;
 constexpr int kHandoverTries = 4;
 
@@ -167,8 +169,9 @@
   auto it = known_.find(worker);
   if (it == known_.end()) return true;
   const Worker& w = it->second;
-  bool leaves = w.health != Health::serving && now() - w.leaving_since >= kDrainGrace;
-  bool moved = w.address != address && now() - w.moved_since >= kDrainGrace;  // what was there has ended
+  Time grace = settings_.stop_sending_within_us - kDrainReserve;
+  bool leaves = w.health != Health::serving && now() - w.leaving_since >= grace;
+  bool moved = w.address != address && now() - w.moved_since >= grace;  // what was there has ended
   if (leaves || moved) held_back_.add();
   return !leaves && !moved;
 }
