Read the last lines after a failed write, and tell each drained backlog

Cause: Stream::on_io told an ending as soon as a write had failed, without reading what the peer had sent before it closed or reset: a worker's last line or MOVE was swallowed when the client's line was passed on in the same turn. Stream::flush dropped the unsent bytes on a failure, so WorkerLink::ended saw no backlog and reported `reset` (may have run) for an opening line that was never written. Stream::watch stopped waiting for room when a later write took the backlog along, so `drained` was never told and the other side stayed on hold for good.

Ruled out: a RST that is received does not purge the receive queue, so reading first and then telling the end loses nothing; a hold is kept (read_on looks again).

Change: a stream whose write failed is read to its end before the end is told; the unsent bytes stay counted; a backlog that went out with a later write is told as drained by the loop.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -62,8 +62,6 @@
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
     if (n < 0) {  // the writer is inside its own call: the loop tells it
       broken_ = true;
-      out_.clear();
-      sent_ = 0;
       io_.feed(EV_READ);
       return;
     }
@@ -82,14 +80,18 @@
 
 void Stream::read_on(bool on) {
   reading_ = on;
-  if (state_ == State::open) watch();
+  if (state_ != State::open) return;
+  if (broken_ && on) return io_.feed(EV_READ);
+  watch();
 }
 
 void Stream::watch() {
   if (broken_) return;  // starting the watcher again would lose the event that tells of it
   if (state_ == State::connecting) return io_.start(fd_.get(), EV_WRITE);
   if (state_ != State::open) return;
-  io_.start(fd_.get(), (reading_ ? EV_READ : 0) | (out_.empty() ? 0 : EV_WRITE));
+  // Also when a later write has taken the last of it along: `drained` is told by the loop only.
+  bool writing = !out_.empty() || !wrote_all_;
+  io_.start(fd_.get(), (reading_ ? EV_READ : 0) | (writing ? EV_WRITE : 0));
 }
 
 void Stream::fail(Ending ending) {
@@ -105,7 +107,7 @@
 
 void Stream::on_io(int events) {
   if (state_ == State::closed) return;
-  if (broken_) return fail(Ending::broken);
+  if (broken_ && (state_ == State::connecting || lingering_)) return fail(Ending::broken);
   if (state_ == State::connecting) {
     int error = 0;
     socklen_t size = sizeof error;
@@ -116,10 +118,11 @@
     if (handler_) handler_->connected();
     return;
   }
-  if (events & EV_WRITE) {
+  if ((events & EV_WRITE) && !broken_) {
     flush();
     if (out_.empty() && !wrote_all_) {
       wrote_all_ = true;
+      watch();
       if (lingering_) {
         settle();
       } else if (handler_) {
@@ -127,9 +130,19 @@
       }
     }
   }
-  if (!(events & EV_READ) || state_ != State::open) return;
+  if ((events & EV_READ) && state_ == State::open) read_some();
+}
+
+// A peer may say its last lines and reset the connection in the moment in which something is written to it.
+// The write fails then, and the lines that have come are read before the end is told.
+void Stream::read_some() {
+  if (broken_) {
+    if (!reading_) return;  // read_on looks again
+    io_.feed(EV_READ);      // there may be more than is read at once
+  }
   char buffer[kReadAtOnce];
   ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
+  if (n <= 0 && broken_) return fail(Ending::broken);
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
   if (n < 0) return fail(Ending::broken);
   if (n == 0) return fail(Ending::finished);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -39,6 +39,7 @@
   void connect(const sockaddr_in& to);  // a failure is told as an ending
   void write(std::string_view bytes);
   void read_on(bool on);
+  // What was written and the system has not taken; after an ending, what it never took.
   std::size_t backlog() const { return out_.size() - sent_; }
   bool unsent() const { return unsent_; }  // a connect that failed here, for want of a descriptor or the like
 
@@ -56,6 +57,7 @@
   enum class State { idle, connecting, open, closed };
 
   void on_io(int events);
+  void read_some();
   void flush();
   void fail(Ending ending);
   void watch();
@@ -69,7 +71,9 @@
   IoWatch io_;
   TimerWatch linger_;
   State state_ = State::idle;
-  bool reading_ = true, shut_ = false, broken_ = false, wrote_all_ = true, unsent_ = false;
+  bool reading_ = true, shut_ = false, unsent_ = false;
+  bool broken_ = false;    // nothing more can be sent; what has come is still read
+  bool wrote_all_ = true;  // false from a write that did not go out at once until `drained` is called
   std::string out_;
   std::size_t sent_ = 0;
   std::size_t discarded_ = 0;  // read from the peer since its handler gave it up
