Move clients off a silent worker in time, between lines and not for our own stall

Need: PROTOCOL allows 7 s on a connection that brings nothing back, and MOVE between two lines only.

Seen (crossing streams/*, failed before the change): a worker that stopped inside a line had its client told "halfMOVE" 0.7 to 0.9 s after the silence bound; from the last line that had come back, the move fell 7.0 to 8.1 s later (a client's next line comes 2 s after it, then 5 s, a look every 0.2 s, 0.7 s for the rest of the line); a late second UP or BUSY popped the client's first unanswered line, so that the silence after it was judged 2 s too late or not at all; after a stall of the process the look at the standing connections came before the sockets were read, and moved a client whose answer, or the rest of whose line, lay there.

Ruled out: entries of `busy_` are not lost (the queue empties before they are erased, and the next message enters them again); LOAD lines do not count; a closed or reset worker connection is seen at once unless its client does not read.

Change: kSilenceBound is 4.5 s; a worker that has been silent inside a line for 0.7 s is not waited for once more; MOVE ends a line that has stopped; UP and BUSY lines after UP answer no message; the first look after a stall waits 20 ms for the sockets, once.

The player gains `flood`, `held` and `takes`, for both directions of backpressure, and ~cr~.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -12,10 +12,12 @@
 
 constexpr Time kMillisecond = 1000, kSecond = 1'000'000;
 constexpr Time kWatchEvery = 200 * kMillisecond;
-// A connection whose worker no longer answers must have moved within 7 s; clients speak every 2 s.
-constexpr Time kSilenceBound = 5 * kSecond;
-constexpr Time kMidLineBound = 700 * kMillisecond;  // a worker that stops inside a line holds no move up
-constexpr Time kDrainGrace = 150 * kMillisecond;    // of the 250 ms in which sends to a leaving worker end
+// After a stall of the process, until what had come meanwhile has been read.
+constexpr Time kWatchAfterStall = 20 * kMillisecond;
+// A connection that brings nothing back must have moved within 7 s. Clients speak every 2 s, so its last
+// answer may have come 2 s before the first line that has none; and the look at it is up to kWatchEvery late.
+constexpr Time kSilenceBound = 4500 * kMillisecond;
+constexpr Time kDrainGrace = 150 * kMillisecond;  // of the 250 ms in which sends to a leaving worker end
 constexpr Time kHandoverAgain = 300 * kMillisecond;
 constexpr int kHandoverTries = 4;
 
@@ -69,7 +71,8 @@
   for (const RequestClass& c : settings_.classes)
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
-  timers_.push({now() + kWatchEvery, Due::watch});
+  looked_at_ = now();
+  timers_.push({looked_at_ + kWatchEvery, Due::watch});
   tell_list(ListForm::remembered, startup.known);
 }
 
@@ -295,6 +298,15 @@
   tell(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::load_changed, load});
 }
 
+// Timers come before sockets: after a stall the answers may lie there unread, and the first look would judge
+// by the time of the stall. The look after it judges, so that a process that stalls again and again still
+// looks.
+bool Dispatcher::stalled_since_last_look() {
+  Time since = now() - std::exchange(looked_at_, now());
+  look_put_off_ = since > 2 * kWatchEvery && !look_put_off_;
+  return look_put_off_;
+}
+
 void Dispatcher::watch_standing() {
   std::vector<std::uint64_t> silent, stuck;
   std::vector<std::pair<std::uint64_t, Time>> late;
@@ -306,11 +318,15 @@
                 (exchange->moving_ || !exchange->unanswered_.empty());
     next = busy ? std::next(next) : busy_.erase(next);
     if (!busy) continue;
-    if (exchange->moving_ && at - exchange->moving_since_ > kMidLineBound) stuck.push_back(id);
+    if (exchange->rest_overdue()) {
+      stuck.push_back(id);
+      continue;
+    }
     if (exchange->unanswered_.empty()) continue;
     Time waited = at - exchange->unanswered_.front();
     if (waited > kSilenceBound) {
-      silent.push_back(id);
+      if (!exchange->moving_) silent_moves_.add();
+      (exchange->stopped_inside_a_line() ? stuck : silent).push_back(id);
     } else if (waited > message_aim_) {
       late.emplace_back(id, waited);
     }
@@ -319,10 +335,7 @@
   for (auto [id, waited] : late)
     if (Exchange* exchange = find(id)) message_took(*exchange, waited);
   for (std::uint64_t id : silent)
-    if (Exchange* exchange = find(id)) {
-      silent_moves_.add();
-      exchange->redirect();
-    }
+    if (Exchange* exchange = find(id)) exchange->redirect();
   for (std::uint64_t id : stuck)
     if (Exchange* exchange = find(id)) exchange->redirect_now();
   standing_gauge_.set(static_cast<double>(standing()));
@@ -473,9 +486,10 @@
 void Dispatcher::expire(const Timer& timer) {
   if (timer.due == Due::module) return tell(TimerEvent{timer.id});
   if (timer.due == Due::watch) {
-    watch_standing();
+    bool stalled = stalled_since_last_look();
+    if (!stalled) watch_standing();
     if (gate_) follow_gate();
-    timers_.push({now() + kWatchEvery, Due::watch});
+    timers_.push({now() + (stalled ? kWatchAfterStall : kWatchEvery), Due::watch});
     return;
   }
   Exchange* exchange = find(timer.id);
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -108,6 +108,7 @@
   void hand_over(Exchange& exchange);
   void handed_again(Exchange& exchange);
   void expire(const Timer& timer);
+  bool stalled_since_last_look();
   void watch_standing();
   void follow_gate();
   void answer(Exchange& exchange, Answer answer, Time pause, std::string_view words);
@@ -139,6 +140,8 @@
   std::uint64_t next_id_ = 1;
   std::size_t unanswered_ = 0;
   bool pumping_ = false;
+  Time looked_at_ = 0;         // when the standing connections were last looked at
+  bool look_put_off_ = false;  // for the stall found at the last look
   Time message_aim_;
 
   Counter &taken_, &adopted_, &served_, &overloads_, &failed_, &left_waiting_, &late_, &delegations_, &moves_,
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t kMessagesTimed = 256;  // a client that floods is timed no further: the queue is bounded
+constexpr Time kMidLineBound = 700'000;      // a worker that stops inside a line holds no move up
 
 }  // namespace
 
@@ -54,6 +55,7 @@
 void Exchange::worker_sent(const Piece& piece) {
   if (state_ != State::standing || !client_) return;
   client_between_ = piece.between;
+  heard_at_ = dispatcher_.now();
   client_->deliver(piece.bytes);
   for (int i = 0; i < piece.messages && !unanswered_.empty(); ++i) {
     Time delay = dispatcher_.now() - unanswered_.front();
@@ -105,6 +107,13 @@
   client_ = nullptr;
 }
 
+bool Exchange::rest_overdue() const { return moving_ && dispatcher_.now() - moving_since_ > kMidLineBound; }
+
+// By what has been read: after a stall of the process the rest may lie in the socket.
+bool Exchange::stopped_inside_a_line() const {
+  return !client_between_ && dispatcher_.now() - heard_at_ > kMidLineBound;
+}
+
 // A client is told to move between two messages only: a MOVE inside a line would be part of that line.
 void Exchange::redirect() {
   if (state_ != State::standing || moving_) return;
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -53,6 +53,8 @@
   void answer_failed(std::string_view words);
   void redirect();
   void redirect_now();
+  bool rest_overdue() const;           // of the line that a move waits for
+  bool stopped_inside_a_line() const;  // whether or not it is to move
   void drop_delegation() { delegation_.reset(); }
 
   Dispatcher& dispatcher_;
@@ -70,6 +72,7 @@
   bool moving_ = false;  // to be told to move as soon as the stream stands between two messages
   bool client_between_ = true;
   Time moving_since_ = 0;
+  Time heard_at_ = 0;  // when the worker's last bytes came
   // When each message of the client went to the worker. Few at a time, and none on most: no deque, which
   // takes half a kilobyte when it is empty.
   std::vector<Time> unanswered_;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -271,9 +271,11 @@
   if (stream_) stream_->read_on(!on);
 }
 
+// A worker that has stopped inside a line leaves the client there: MOVE stands on a line of its own.
 void ClientLink::redirect() {
   exchange_ = nullptr;
-  say_and_close("MOVE\r\n");
+  std::string_view line_end = last_said_ == '\n' ? "" : last_said_ == '\r' ? "\n" : "\r\n";
+  say_and_close(std::string(line_end) + "MOVE\r\n");
 }
 
 void ClientLink::ended(Ending ending) {
@@ -283,6 +285,7 @@
 
 void ClientLink::say(std::string_view bytes) {
   listener_.bytes_out_.add(static_cast<double>(bytes.size()));
+  last_said_ = bytes.back();
   stream_->write(bytes);
 }
 
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -96,7 +96,8 @@
   std::unique_ptr<Stream> stream_;
   core::Exchange* exchange_ = nullptr;
   bool asked_ = false, standing_ = false, full_told_ = false;
-  std::string in_;  // what has come and is not passed on yet
+  char last_said_ = '\n';  // the last byte passed on to the client
+  std::string in_;         // what has come and is not passed on yet
   LineWatch lines_;
   TimerWatch patience_;  // runs until the client has asked, from when it connected
   int pings_ = 0;
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -125,7 +125,7 @@
           load_told(lines_.last());
         } else if (verb == "BYE" || verb == "MOVE" || verb == "ERR") {
           closing_ = verb == "BYE" ? Outcome::served : verb == "MOVE" ? Outcome::cancelled : Outcome::error;
-        } else {
+        } else if (verb != "UP" && verb != "BUSY") {  // these: a second answer, late, to the opening line
           piece.messages = 1;
         }
       }
--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kPatience = 4000;
+constexpr int kFloodPatience = 10000;
+constexpr std::size_t kFloodAtOnce = 1 << 20;  // bytes of a flood handed to the system in one send
 
 struct Conn {
   int fd = -1;
@@ -21,6 +23,7 @@
   enum { open, fin, rst } end = open;
   bool call = false;
   bool stalled = false;  // its peer stopped reading
+  std::string pending;   // of a flood: sent as the program takes it
   ~Conn() { ::close(fd); }
 
   void read() {
@@ -39,6 +42,14 @@
     in.erase(0, at + 2);
     return text;
   }
+  void send_pending() {
+    while (end == open && !pending.empty()) {
+      ssize_t n =
+          ::send(fd, pending.data(), std::min(pending.size(), kFloodAtOnce), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n <= 0) return;
+      pending.erase(0, static_cast<std::size_t>(n));
+    }
+  }
   void send(const std::string& text) { ::send(fd, text.data(), text.size(), MSG_NOSIGNAL); }
   void reset() {
     linger hard{1, 0};
@@ -59,8 +70,21 @@
   return numbers.at(name);
 }
 
+std::string flood_line(int number) {
+  std::string line = "flood ";
+  line += std::to_string(number);
+  line.append(80, '.');
+  return line += "\r\n";
+}
+
+void replace_all(std::string& text, const std::string& what, const std::string& by) {
+  for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; at += by.size())
+    text.replace(at, what.size(), by);
+}
+
 std::string with_line_ends(std::string text) {
-  for (std::size_t at; (at = text.find("~n~")) != std::string::npos;) text.replace(at, 3, "\r\n");
+  replace_all(text, "~n~", "\r\n");
+  replace_all(text, "~cr~", "\r");
   return text;
 }
 
@@ -152,6 +176,12 @@
     if (verb == "connect") return void(conn(who));
     if (verb == "stall") return void(conn(who).stalled = true);
     if (verb == "read") return void(conn(who).stalled = false);
+    if (verb == "flood") return flood(conn(who), std::stoi(rest));
+    if (verb == "takes") return take_flood(conn(who), std::stoi(rest));
+    if (verb == "held") {
+      REQUIRE(!conn(who).pending.empty());
+      return;
+    }
     if (verb == "bytes") return send_bytewise(conn(who), rest + "\r\n");
     if (verb == "ends" || verb == "discards") {
       Conn& c = conn(who);
@@ -272,6 +302,16 @@
     worker.fillers.clear();
     worker.accepts = true;
   }
+  void flood(Conn& from, int lines) {
+    for (int i = 1; i <= lines; ++i) from.pending += flood_line(i);
+  }
+  void take_flood(Conn& to, int lines) {
+    std::string all;
+    for (int i = 1; i <= lines; ++i) all += flood_line(i);
+    until([&] { return to.in.size() >= all.size(); }, kFloodPatience);
+    REQUIRE(to.in.compare(0, all.size(), all) == 0);
+    to.in.erase(0, all.size());
+  }
   void send_bytewise(Conn& to, const std::string& text) {
     int on = 1;
     setsockopt(to.fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -336,6 +376,7 @@
       }
       for (auto& c : w.all) {
         c->read();
+        c->send_pending();
         if (!c->call && c->in.starts_with("OPEN")) {
           c->call = true;
           conns_[name + "." + std::to_string(++w.calls)] = c;
@@ -346,7 +387,10 @@
         }
       }
     }
-    for (auto& [name, c] : conns_) c->read();
+    for (auto& [name, c] : conns_) {
+      c->read();
+      c->send_pending();
+    }
   }
   void pump_for(int ms) {
     for (std::int64_t end = now_ms() + ms; now_ms() < end; usleep(1000)) pump();
--- a/tests/support/exchange_player.h
+++ b/tests/support/exchange_player.h
@@ -9,13 +9,16 @@
 //   files N             descriptors allowed, before the start
 //   worker W            a stand-in worker
 //   start               starts the program
-//   c1 > TEXT           c1 connects if need be and sends a line; >> sends no line end; ~n~ is one
+//   c1 > TEXT           c1 connects if need be and sends a line; >> sends no line end; ~n~ is one, ~cr~ its half
 //   c1 bytes TEXT       the same line, one byte a segment, each taken by the program before the next is sent
 //   c1 connect          connects and sends nothing
 //   c1 < TEXT [N]       must come next, within N ms; ~ stands for digits
 //   W.1 < TEXT          the same at W's first call; W.1 > TEXT is its answer
 //   c1 fin | c1 rst     ends its side
 //   c1 stall | c1 read  stops reading; reads again
+//   c1 flood N          N numbered lines, sent as fast as the program takes them, beside the steps that follow
+//   c1 held             not all of its flood has been taken
+//   c1 takes N          the whole of the other side's flood of N lines must come, in order
 //   c1 ends fin|rst [N] the program must end it like this, within N ms
 //   c1 discards fin|rst [N]  the same, whatever has come before
 //   crowd N TEXT        N further clients connect and send TEXT; with no TEXT they send nothing
