Answer a keyed call at once when its window for repeats is over

Need: one given up is answered at once, never held back.

Seen: a keyed call whose attempt broke after its window was answered at its deadline only: the crossings keyed_window_over and keyed_window_over_as_reset_is_found (d=3000, window 200 ms) had no answer after 300 ms. Ruled out: the timers of the dispatcher; the module held the call, as no worker was allowed for it any more and place() took that for a fleet with no room.

Lines at fault: Impl::place, which asked for a class that may never be repeated only; allowed() knew of the window alone. Change: repeatable() says whether any further attempt may be made, for both.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -278,12 +278,17 @@
 
   // ---- Blend and pick ----------------------------------------------------------------------------
 
+  // Whether a further attempt may be made at all. Once it may not it never will: it is answered at once.
+  bool repeatable(const Request& r) const {
+    const RequestClass& c = settings.classes[r.request_class];
+    if (r.ran_at < 0 || c.repeat == Repeat::safe) return true;
+    return c.repeat == Repeat::keyed && now <= r.ran_at + c.window_us;
+  }
+
   bool allowed(const Backend& b, const Request& r) const {
-    if (!b.listed || b.draining || (r.only && !r.only->count(b.address))) return false;
-    if (r.ran_at < 0) return true;
+    if (!b.listed || b.draining || !repeatable(r) || (r.only && !r.only->count(b.address))) return false;
     const RequestClass& c = settings.classes[r.request_class];
-    if (c.repeat == Repeat::safe) return true;
-    if (c.repeat == Repeat::unsafe || now > r.ran_at + c.window_us) return false;
+    if (r.ran_at < 0 || c.repeat == Repeat::safe) return true;
     const Backend& first = backends[r.ran_on];
     if (c.dedup_scope == DedupScope::zone) return b.zone == first.zone;
     if (c.dedup_scope == DedupScope::cell) return b.cell == first.cell;
@@ -468,7 +473,7 @@
     Time left = r.deadline - now - kSweep;  // the last answer goes out well before the deadline
     int tries_left = settings.max_attempts - r.attempts;
     const RequestClass& c = settings.classes[r.request_class];
-    if (left <= 0 || tries_left <= 0 || (r.ran_at >= 0 && c.repeat == Repeat::unsafe)) return finish(id, r);
+    if (left <= 0 || tries_left <= 0 || !repeatable(r)) return finish(id, r);
     if (beginning + failures.at(now, c.slo_us) >= limit) return;  // held: the sweep tries again
     int i = pick(r);
     if (i < 0) return;
