Take a call that was never written for one that never ran, and time probes from their line

Need: the settings of others may give connects more time than an attempt or a probe has.

Seen: with limits.connect_timeout_us at 3 s, a call of a class that may not be repeated, whose connect hung until its time was over, was answered ERR though no worker can have seen it (crossing unsafe_never_connected); and a probe whose connect came up after 1 s counted as timed out the moment its line was written, so that the worker became a suspect (probe_connect_comes_up_late).

Lines at fault: the time-out in Dispatcher::expire was taken for one that may have run, as Handle did not say that nothing was written; Probes::Link::connected counted the 500 ms from before the connect. Change: a delegation whose line is not written yet has its silence count as not_sent; a probe's 500 ms run from its line, the connect has its own time-out.

--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -56,8 +56,9 @@
   virtual void deliver(std::string_view bytes) = 0;
   virtual void hold(bool on) = 0;
   virtual void finish(Ending ending) = 0;  // the client's side has ended; destroyed right after
-  // Whether a worker that says nothing to it is to blame. Not where anyone may have made the call up and it
-  // cannot have run: a flood of those would have every worker taken for dead.
+  // Whether a worker that says nothing to it is to blame. Not before it has been sent the call, nor where
+  // anyone may have made the call up and it cannot have run: a flood of those would have every worker taken
+  // for dead.
   virtual bool silence_tells() const { return true; }
 };
 
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -78,7 +78,7 @@
     if (!exchange_) return;
     if (up_) return over(closing_, ending);
     if (stream_->unsent()) return over(Outcome::not_sent, ending);  // our own want, not the worker's fault
-    over(asked_ && stream_->backlog() == 0 ? Outcome::reset : Outcome::connect_failed, ending);
+    over(asked() ? Outcome::reset : Outcome::connect_failed, ending);
   }
 
   // ---- From the exchange, by way of the handle.
@@ -97,6 +97,7 @@
   void finish(Ending ending) { Stream::end(std::move(stream_), up_ ? ending : Ending::broken); }
   void detach() {
     exchange_ = nullptr;
+  bool asked() const { return asked_ && stream_ && stream_->backlog() == 0; }
     connect_timer_.stop();
     // Given up: at once and for good, so that no second delegation is out beside it.
     Stream::reset(std::move(stream_));
@@ -174,6 +175,7 @@
 
  private:
   Loop& loop_;
+  bool silence_tells() const override { return link_->asked(); }
   std::shared_ptr<WorkerLink> link_;
 };
 
@@ -214,7 +216,7 @@
 
   void connected() override {
     connected_ = true;
-    if (waiting_) timeout_.start(sent_at_ + kProbeTimeout - probes_.loop_.now());
+    if (waiting_) timeout_.start(kProbeTimeout);  // from the line on: a connect has a time-out of its own
     stream_->write("STATS\r\n");
   }
   void received(std::string_view bytes) override {
--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -140,6 +140,10 @@
     if (workers_.count(who)) {
       if (verb == "mute") workers_[who].mute = true;
       if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
+      if (verb == "speaks") workers_[who].mute = false;
+      if (verb == "speaks") pump();
+      if (verb == "probed") return until([&] { return probed(workers_[who]); }, kPatience);
+      if (verb == "drops") return drop_callless(workers_[who]);
       if (verb == "full") fill_queue(workers_[who]);
       if (verb == "room") make_queue_room(workers_[who]);
       return;
@@ -267,6 +271,19 @@
     }
     worker.accepts = false;
   }
+  static bool probed(const Worker& worker) {
+    return std::any_of(worker.all.begin(), worker.all.end(), [](const auto& c) {
+      return !c->call && c->end == Conn::open && c->in.starts_with("STATS\r\n");
+    });
+  }
+  // Waits for the connection, as one that hung comes up late.
+  void drop_callless(Worker& worker) {
+    auto callless = [](const auto& c) { return !c->call && c->end == Conn::open && c->fd >= 0; };
+    until([&] { return std::any_of(worker.all.begin(), worker.all.end(), callless); }, kPatience);
+    for (auto& c : worker.all)
+      if (callless(c)) c->reset();
+    std::erase_if(worker.all, [](const auto& c) { return c->fd < 0; });
+  }
   void make_queue_room(Worker& worker) {
     ::listen(worker.fd, 64);
     worker.fillers.clear();
--- a/tests/support/exchange_player.h
+++ b/tests/support/exchange_player.h
@@ -21,6 +21,9 @@
 //   crowd N TEXT        N further clients connect and send TEXT; with no TEXT they send nothing
 //   W closed | W mute   refuses calls; answers no probe
 //   W full | W room     its listen queue is full, so that connects hang; takes connections again
+//   W speaks            answers probes again, also those that are out
+//   W probed            a probe must have come that is not answered yet
+//   W drops             connections that have come and carry no call yet are reset
 //   calls W N           so many calls have reached W, no more and no fewer
 //   registry W STATE    told to the program's watch; registry 503: the next call fails
 //   registry hold       no call is answered until `registry release`
