Begin no attempt for a client whose end lies in its connection still unread

Need: nothing begins after its client has left, also where the end is not read yet.

Ruled out: the read of the end itself, which ends the call in the same turn; but by then the attempt is out.

Lines at fault: Dispatcher::delegate began whatever the module chose. Change: core::ClientSide::still_there, true by default; a client's link asks its socket by poll with POLLRDHUP, and by a peek where that tells nothing. An attempt that is not begun is over for the module when the client's end is read, or with the call.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -148,6 +148,10 @@
   exchange.worker_ = worker;
   exchange.sent_at_ = now();
   log::debug("call {} sent to {}", exchange.id_, worker);
+  // The module chooses before the sockets are read: the end of a client that has left may still lie in one.
+  exchange.withheld_ = !exchange.client_waits();
+  if (exchange.withheld_) return;  // its end is read in this turn, and ends the call
+  log::debug("call {} sent to {}", exchange.id_, worker);
   int attempt = exchange.attempts_++;
   delegations_.add();
   timers_.push({now() + wait, Due::attempt, exchange.id_, attempt});
@@ -252,7 +256,7 @@
 }
 
 void Dispatcher::answer_and_close(Exchange& exchange, Answer kind, Time pause) {
-  bool out = exchange.delegation_ != nullptr;
+  bool out = exchange.delegation_ != nullptr || exchange.withheld_;
   ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
   answer(exchange, kind, pause, "");
   close(exchange);
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -37,6 +37,7 @@
   void client_full(bool on);  // the client takes no more for now
 
   // ---- From the worker's side.
+  bool client_waits() const { return client_ && client_->still_there(); }
   bool may_begin() const;  // whether the worker may still be sent something new
   void worker_up(std::string_view receipt);
   void worker_sent(const Piece& piece);
@@ -64,6 +65,7 @@
   State state_ = State::waiting;
   int attempts_ = 0;
   int handed_tries_ = 0;
+  bool withheld_ = false;  // the module's latest attempt was not begun: the client has left, and is read soon
   std::shared_ptr<const std::set<std::string>> only_;  // workers it may use; none: any
   std::string worker_;                                 // of the latest delegation
   Time sent_at_ = 0, deadline_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -42,6 +42,9 @@
   virtual void established(std::string_view receipt) = 0;
   virtual void overload_reply(Time pause) = 0;
   virtual void failed(std::string_view words) = 0;  // the worker's own words, if it had any
+  // Whether its client is still there, asked of the connection itself: the client's end may lie behind what
+  // has been read of it so far. True where that cannot be told.
+  virtual bool still_there() const { return true; }
   // While the connection stands.
   virtual void deliver(std::string_view bytes) = 0;
   virtual void hold(bool on) = 0;         // the worker takes no more for now
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -57,6 +57,7 @@
   void established(std::string_view receipt) override;
   void overload_reply(Time pause) override;
   void failed(std::string_view words) override;
+  bool still_there() const override { return stream_ && !stream_->peer_ended(); }
   void deliver(std::string_view bytes) override;
   void hold(bool on) override;
   void redirect() override;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,7 @@
 #include "net/stream.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -80,6 +81,17 @@
   watch();
 }
 
+bool Stream::peer_ended() const {
+  if (state_ != State::open) return state_ == State::closed;
+  if (broken_) return true;
+  pollfd asked{fd_.get(), POLLIN | POLLRDHUP, 0};
+  if (::poll(&asked, 1, 0) <= 0) return false;
+  if (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) return true;
+  // Where the system knows no POLLRDHUP, an end that is next to be read is seen all the same.
+  char next;
+  return (asked.revents & POLLIN) && ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void Stream::read_on(bool on) {
   reading_ = on;
   if (state_ == State::open) watch();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -40,6 +40,11 @@
   void write(std::string_view bytes);
   void read_on(bool on);
   std::size_t backlog() const { return out_.size() - sent_; }
+  // Whether the peer has ended its side, also where that lies behind bytes that are not read yet. Nothing is
+  // read by this; false where the system does not tell.
+  bool peer_ended() const;
+  // Before adopt or connect: of what is ready in one turn this is read before other streams.
+  void read_first() { io_.priority(1); }
   bool unsent() const { return unsent_; }  // a connect that failed here, for want of a descriptor or the like
 
   // Ends the stream for its handler. In order: what is left goes out, then FIN, and the peer has a moment to
