Read what came while the process was held up before judging time-outs and drains

Need: of two events found in one turn the one that lay in a socket came first; a time-out that is judged first loses an answer.

Seen, with the process stopped and resumed: a worker's UP or BUSY that lay in the socket lost to the attempt's time-out and to the deadline (timeout_after_up, timeout_after_busy, deadline_after_up), a connect that had come up to its time-out (connect_timeout_after_connect), a probe's answer to the probe's (probe_timeout_after_pong); held calls were sent on before their clients' ends were read (left_while_held); a line was written on a connect that came up in the turn of its client's end (left_while_connecting, reset_while_connecting); a drain that had lain in the registry's socket for 1.3 s stopped no send (drain_told_while_held_up), and one that did stop a send counted as a miss of the worker (drain_told_during_connect).

Lines at fault: an interrupted wait finds no socket, and the hook before the next wait runs Dispatcher::advance; libev calls timers before sockets of the same turn; Dispatcher::learn counted a drain from when it was read; WorkerLink::connected asked about the worker only, and called its own stop connect_failed. Change: timers are called after sockets, and one over 5 ms late after a further turn; so is Dispatcher::advance. The registry's socket is read first, and a drain counts from the last wait. A connect that comes up for nobody, or too late, writes nothing and blames nobody.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -147,12 +147,11 @@
 void Dispatcher::delegate(Exchange& exchange, const std::string& worker, Time wait) {
   exchange.worker_ = worker;
   exchange.sent_at_ = now();
-  log::debug("call {} sent to {}", exchange.id_, worker);
+  int attempt = exchange.attempts_++;
   // The module chooses before the sockets are read: the end of a client that has left may still lie in one.
   exchange.withheld_ = !exchange.client_waits();
   if (exchange.withheld_) return;  // its end is read in this turn, and ends the call
   log::debug("call {} sent to {}", exchange.id_, worker);
-  int attempt = exchange.attempts_++;
   delegations_.add();
   timers_.push({now() + wait, Due::attempt, exchange.id_, attempt});
   exchange.delegation_ = exchange.workers_.delegate(exchange, worker, address_of(worker), wait);
@@ -375,8 +374,10 @@
   list_version_ += 1;
   if (watch_) watch_->members(list);
   if (gate_) gate_->members(list);
-  auto set = [this](Worker& worker, Health health) {
-    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = now();
+  // It counts as told once the registry has written it, which a process that was held finds out late.
+  Time told = waits_since_ > 0 ? waits_since_ : now();
+  auto set = [told](Worker& worker, Health health) {
+    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = told;
     worker.health = health;
   };
   std::unordered_set<std::string> named;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -53,6 +53,8 @@
   // ---- Time. next_due is the earliest moment at which advance has something to do.
   Time next_due() const;
   void advance();
+  // Before each wait for the fronts' sockets, when all that was found by the last one has been handled.
+  void waits() { waits_since_ = now(); }
   void reap() { ended_.clear(); }  // what is over is freed here only, when no front is inside a call of it
 
   // ---- A planned restart: every standing connection is told to move within `span`.
@@ -138,6 +140,7 @@
   std::deque<lemonspread::Event> events_;
   std::uint64_t next_id_ = 1;
   std::size_t unanswered_ = 0;
+  Time waits_since_ = 0;  // what is read now may have come at any time since; 0: never told
   bool pumping_ = false;
   Time message_aim_;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -66,11 +66,7 @@
   }
 
   void run() {
-    loop_.before_wait([this] {
-      dispatcher_.advance();
-      dispatcher_.reap();
-      return dispatcher_.next_due() - loop_.now();
-    });
+    loop_.before_wait([this] { return step(); });
     log::threshold = log_level(startup_);
     log::info("{} listens on {}", startup_.name, startup_.listen);
     net::SignalGate hangups(SIGHUP);
@@ -80,6 +76,17 @@
   }
 
  private:
+  // What is due. Returns how long nothing more is.
+  Time step() {
+    // After the process was held up, what has come meanwhile is read before anything is judged by its time.
+    read_first_ = !read_first_ && loop_.now() - dispatcher_.next_due() > net::kHeldUp;
+    if (read_first_) return 0;
+    dispatcher_.advance();
+    dispatcher_.reap();
+    dispatcher_.waits();
+    return dispatcher_.next_due() - loop_.now();
+  }
+
   sockaddr_in address() const {
     return *net::parse_address(startup_.listen);  // checked when it was decoded
   }
@@ -262,7 +269,7 @@
   net::SignalWatch term_, interrupt_, hangup_, print_, pause_;
   metrics::Metric &reloads_, &reloads_refused_;
   Time retiring_since_ = 0, last_seen_empty_ = 0;
-  bool moving_ = false, paused_ = false;
+  bool moving_ = false, paused_ = false, read_first_ = false;
 };
 
 }  // namespace
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -89,8 +89,19 @@
   ev_io_start(loop_.raw(), &watcher_);
 }
 
+// A wait that was interrupted has found no socket ready: one further turn reads what has come before the
+// time-out is judged.
+void TimerWatch::due() {
+  put_off_ = !put_off_ && loop_.now() - due_at_ > kHeldUp;
+  if (!put_off_) return call_();
+  ev_timer_set(&watcher_, 0, 0);
+  ev_timer_start(loop_.raw(), &watcher_);
+}
+
 void TimerWatch::start(Time after) {
   stop();
+  put_off_ = false;
+  due_at_ = loop_.now() + std::max<Time>(0, after);
   ev_now_update(loop_.raw());
   ev_timer_set(&watcher_, static_cast<double>(std::max<Time>(0, after)) / 1e6, 0);
   ev_timer_start(loop_.raw(), &watcher_);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -14,6 +14,10 @@
 
 using core::Time;
 
+// A timer that is called later than this was held up together with the whole process: the wait itself is late
+// by up to 2 ms, as epoll counts in milliseconds. What has come meanwhile is then read first.
+constexpr Time kHeldUp = 5'000;
+
 class Fd {
  public:
   explicit Fd(int fd = -1) : fd_(fd) { in_use_ += fd >= 0; }
@@ -88,7 +92,8 @@
 class TimerWatch {
  public:
   TimerWatch(Loop& loop, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
-    ev_init(&watcher_, [](struct ev_loop*, ev_timer* w, int) { static_cast<TimerWatch*>(w->data)->call_(); });
+    ev_init(&watcher_, [](struct ev_loop*, ev_timer* w, int) { static_cast<TimerWatch*>(w->data)->due(); });
+    ev_set_priority(&watcher_, EV_MINPRI);  // after the sockets that are ready in the same turn
     watcher_.data = this;
   }
   ~TimerWatch() { stop(); }
@@ -98,9 +103,13 @@
   bool active() const { return ev_is_active(&watcher_); }
 
  private:
+  void due();
+
   Loop& loop_;
   std::function<void()> call_;
   ev_timer watcher_;
+  Time due_at_ = 0;
+  bool put_off_ = false;
 };
 
 // Lets a signal that was shut out through while it lives.
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -83,6 +83,7 @@
   auto to = parse_address(address_);
   if (!to) return fail("no address");
   stream_ = std::make_unique<Stream>(loop_, *this);
+  stream_->read_first();  // a worker that is told to drain gets nothing new from what is ready beside
   stream_->connect(*to);
 }
 
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -37,7 +37,10 @@
   void connected() override {
     connect_timer_.stop();
     if (!exchange_) return;
-    if (!exchange_->may_begin()) return over(Outcome::connect_failed, Ending::broken);
+    if (!exchange_->client_waits()) return;  // its end is read in this turn, and ends the call
+    // That nothing begins now is no fault of the worker's.
+    bool in_time = side_.loop_.now() < wait_until_;
+    if (!in_time || !exchange_->may_begin()) return over(Outcome::not_sent, Ending::broken);
     // The worker is told how long this balancer will wait, not how long the client once would.
     Time left = std::max<Time>(1, (wait_until_ - side_.loop_.now()) / 1000);
     std::string line = with_field(exchange_->call().opening, "d", std::to_string(left)) + "\r\n";
@@ -94,10 +97,10 @@
   void hold(bool on) {
     if (stream_) stream_->read_on(!on);
   }
+  bool asked() const { return asked_ && stream_ && stream_->backlog() == 0; }
   void finish(Ending ending) { Stream::end(std::move(stream_), up_ ? ending : Ending::broken); }
   void detach() {
     exchange_ = nullptr;
-  bool asked() const { return asked_ && stream_ && stream_->backlog() == 0; }
     connect_timer_.stop();
     // Given up: at once and for good, so that no second delegation is out beside it.
     Stream::reset(std::move(stream_));
@@ -172,10 +175,10 @@
   void deliver(std::string_view bytes) override { link_->deliver(bytes); }
   void hold(bool on) override { link_->hold(on); }
   void finish(Ending ending) override { link_->finish(ending); }
+  bool silence_tells() const override { return link_->asked(); }
 
  private:
   Loop& loop_;
-  bool silence_tells() const override { return link_->asked(); }
   std::shared_ptr<WorkerLink> link_;
 };
 
