--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -40,12 +40,12 @@
 struct RequestClass {
   std::string name;
   Time slo_us = 0;          // an answer within this earns the full worth
-  Time give_up_us = 0;      // a client waits no longer than this over all its tries; 0: not stated
   Time message_aim_us = 0;  // wanted time of a message on an open connection; 0: none stated
   Repeat repeat = Repeat::safe;
   DedupScope dedup_scope = DedupScope::all;
   Time window_us = 0;   // keyed: how long repeats are remembered
   bool stream = false;  // a connection: Established arrives once it stands
+  Time give_up_us = 0;  // a client waits no longer than this over all its tries; 0: not stated
 };
 
 struct Settings {
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -73,7 +73,7 @@
   for (const RequestClass& c : settings_.classes)
     if (c.message_aim_us > 0 && (aim == 0 || c.message_aim_us < aim)) aim = c.message_aim_us;
   if (aim > 0) message_aim_ = aim;
-  looked_at_ = advanced_at_ = now();
+  looked_at_ = now();
   timers_.push({looked_at_ + kWatchEvery, Due::watch});
   tell_list(ListForm::remembered, startup.known);
 }
@@ -152,8 +152,11 @@
 void Dispatcher::delegate(Exchange& exchange, const std::string& worker, Time wait) {
   exchange.worker_ = worker;
   exchange.sent_at_ = now();
-  log::debug("call {} sent to {}", exchange.id_, worker);
   int attempt = exchange.attempts_++;
+  // The module chooses before the sockets are read: the end of a client that has left may still lie in one.
+  exchange.withheld_ = !exchange.client_waits();
+  if (exchange.withheld_) return;  // its end is read in this turn, and ends the call
+  log::debug("call {} sent to {}", exchange.id_, worker);
   delegations_.add();
   timers_.push({now() + wait, Due::attempt, exchange.id_, attempt});
   exchange.address_ = address_of(worker);
@@ -261,7 +264,7 @@
 }
 
 void Dispatcher::answer_and_close(Exchange& exchange, Answer kind, Time pause) {
-  bool out = exchange.delegation_ != nullptr;
+  bool out = exchange.delegation_ != nullptr || exchange.withheld_;
   ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
   answer(exchange, kind, pause, "");
   close(exchange);
@@ -390,8 +393,10 @@
   list_version_ += 1;
   if (watch_) watch_->members(list);
   if (gate_) gate_->members(list);
-  auto set = [this](Worker& worker, Health health) {
-    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = advanced_at_;
+  // It counts as told once the registry has written it, which a process that was held finds out late.
+  Time told = waits_since_ > 0 ? waits_since_ : now();
+  auto set = [told](Worker& worker, Health health) {
+    if (health != Health::serving && worker.health == Health::serving) worker.leaving_since = told;
     worker.health = health;
   };
   std::unordered_set<std::string> named;
@@ -399,7 +404,7 @@
     Worker& worker = known_[entry.backend.address];
     if (!entry.address.empty() && entry.address != worker.address) {
       worker.address = entry.address;
-      worker.moved_since = advanced_at_;
+      worker.moved_since = told;
     }
     set(worker, entry.backend.health);
     named.insert(entry.backend.address);
@@ -485,7 +490,6 @@
 
 void Dispatcher::advance() {
   Time at = now();
-  advanced_at_ = at;
   while (!timers_.empty() && timers_.top().when <= at) {
     Timer timer = timers_.top();
     timers_.pop();
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -53,6 +53,8 @@
   // ---- Time. next_due is the earliest moment at which advance has something to do.
   Time next_due() const;
   void advance();
+  // Before each wait for the fronts' sockets, when all that was found by the last one has been handled.
+  void waits() { waits_since_ = now(); }
   void reap() { ended_.clear(); }  // what is over is freed here only, when no front is inside a call of it
 
   // ---- A planned restart: every standing connection is told to move within `span`.
@@ -127,7 +129,6 @@
   lemonspread::Balancer balancer_;
   std::unordered_map<std::string, Worker> known_;
   std::uint64_t list_version_ = 0;
-  Time advanced_at_ = 0;  // the earliest that anything heard since can have been told
   std::map<std::uint64_t, std::unique_ptr<Exchange>> calls_;
   std::vector<std::unique_ptr<Exchange>> ended_;
   // Standing ones with a message out or a move to make, and some that had: of many thousands that stand few
@@ -141,6 +142,7 @@
   std::deque<lemonspread::Event> events_;
   std::uint64_t next_id_ = 1;
   std::size_t unanswered_ = 0;
+  Time waits_since_ = 0;  // what is read now may have come at any time since; 0: never told
   bool pumping_ = false;
   Time looked_at_ = 0;         // when the standing connections were last looked at
   bool look_put_off_ = false;  // for the stall found at the last look
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -90,7 +90,7 @@
   auto to = parse_address(address_);
   if (!to) return fail("no address");
   stream_ = std::make_unique<Stream>(loop_, *this);
-  stream_->goes_first();  // what it tells counts since it was written: no call is placed before it is read
+  stream_->read_first();  // what it tells counts since it was written: no call is placed before it is read
   stream_->connect(*to);
 }
 
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -37,7 +37,10 @@
   void connected() override {
     connect_timer_.stop();
     if (!exchange_) return;
-    if (!exchange_->may_begin()) return over(Outcome::connect_failed, Ending::broken);
+    if (!exchange_->client_waits()) return;  // its end is read in this turn, and ends the call
+    // That nothing begins now is no fault of the worker's.
+    bool in_time = side_.loop_.now() < wait_until_;
+    if (!in_time || !exchange_->may_begin()) return over(Outcome::not_sent, Ending::broken);
     // The worker is told how long this balancer will wait, not how long the client once would.
     Time left = std::max<Time>(1, (wait_until_ - side_.loop_.now()) / 1000);
     std::string line = with_field(exchange_->call().opening, "d", std::to_string(left)) + "\r\n";
@@ -78,7 +81,7 @@
     if (!exchange_) return;
     if (up_) return over(closing_, ending);
     if (stream_->unsent()) return over(Outcome::not_sent, ending);  // our own want, not the worker's fault
-    over(asked_ && stream_->backlog() == 0 ? Outcome::reset : Outcome::connect_failed, ending);
+    over(asked() ? Outcome::reset : Outcome::connect_failed, ending);
   }
 
   // ---- From the exchange, by way of the handle.
@@ -94,6 +97,7 @@
   void hold(bool on) {
     if (stream_) stream_->read_on(!on);
   }
+  bool asked() const { return asked_ && stream_ && stream_->backlog() == 0; }
   void finish(Ending ending) { Stream::end(std::move(stream_), up_ ? ending : Ending::broken); }
   void detach() {
     exchange_ = nullptr;
@@ -171,6 +175,7 @@
   void deliver(std::string_view bytes) override { link_->deliver(bytes); }
   void hold(bool on) override { link_->hold(on); }
   void finish(Ending ending) override { link_->finish(ending); }
+  bool silence_tells() const override { return link_->asked(); }
 
  private:
   Loop& loop_;
@@ -214,7 +219,7 @@
 
   void connected() override {
     connected_ = true;
-    if (waiting_) timeout_.start(sent_at_ + kProbeTimeout - probes_.loop_.now());
+    if (waiting_) timeout_.start(kProbeTimeout);  // from the line on: a connect has a time-out of its own
     stream_->write("STATS\r\n");
   }
   void received(std::string_view bytes) override {
--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -166,6 +166,12 @@
       if (verb == "mute") workers_[who].mute = true;
       if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
       Worker& w = workers_[who];
+      if (verb == "speaks") {
+        w.mute = false;
+        pump();
+      }
+      if (verb == "probed") return until([&] { return probed(w); }, kPatience);
+      if (verb == "drops") return drop_callless(w);
       if (verb == "full") fill_queue(w.fd, w.fillers);
       if (verb == "room") make_queue_room(w.fd, w.fillers);
       if (verb == "full" || verb == "room") w.accepts = verb == "room";
@@ -316,6 +322,19 @@
       fillers.push_back(std::move(filler));
     }
   }
+  static bool probed(const Worker& worker) {
+    return std::any_of(worker.all.begin(), worker.all.end(), [](const auto& c) {
+      return !c->call && c->end == Conn::open && c->in.starts_with("STATS\r\n");
+    });
+  }
+  // Waits for the connection, as one that hung comes up late.
+  void drop_callless(Worker& worker) {
+    auto callless = [](const auto& c) { return !c->call && c->end == Conn::open && c->fd >= 0; };
+    until([&] { return std::any_of(worker.all.begin(), worker.all.end(), callless); }, kPatience);
+    for (auto& c : worker.all)
+      if (callless(c)) c->reset();
+    std::erase_if(worker.all, [](const auto& c) { return c->fd < 0; });
+  }
   void make_queue_room(int listener, std::vector<std::unique_ptr<Conn>>& fillers) {
     ::listen(listener, 64);
     fillers.clear();
