Count the set-ups under way for each pool, so that a dead pool's calls hold no fallback's back

Cause, as one call of `routes_fallback` shows it by its id (debug logs of the balancer, times of the scenario): call 31 of b1 came at 7.146 s, after b1 had found both workers of the pool silent and left it for the fallback. It was sent to w3 only at 9.900 s, and stood there after 0 ms. Failed set-ups at the silent pool had cut the limit to two; calls 17 to 30, which had begun by that pool and keep it, took both slots in turn until their own deadline 2.9 s after they came. Whoever came in those 2.9 s waited behind them.

Ruled out: detection of the dead pool (the scenario starts to count a second after it), the probes' interval, the harness's polling (receipts are stamped by the stand-ins' own thread, and the balancer's log agrees to 1 ms).

At fault: src/decide.cpp, place(), on(EstablishedEvent), on(ResultEvent) and judge() had one limit for all workers, whatever pool a call may use. Changed: the same counts are kept for each set of workers that a request may use (SetupsOfSets in src/state.h); without routes there is one set, any worker, and all is as before. A new set, as news of the list make it, begins at the lowest limit of those that share a worker with it; one not used for 10 s is forgotten.

MARBLEHUB_LOG hands a scenario's balancers a log file.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -83,10 +83,7 @@
   Held held;
   double requests_seen = 0, probes_sent = 0;
   Faded asked;                  // requests, those that come back too
-  int beginning = 0;            // attempts that are out and do not stand yet
-  double limit = 1e9;           // of those at once: failures shrink it
-  Time limit_cut = 0;           // only by what was sent since
-  Faded failures;               // of attempts to set one up
+  SetupsOfSets setups;          // attempts that are out and do not stand yet
   double admitted = 1;          // the part of the new connections that is let in
   double share_of_one = 0;      // what a usual connection of each relay adds to the load of a unit of size
   double shortest_aim_ms = 50;  // of the messages on any connection
@@ -469,7 +466,9 @@
     int tries_left = settings.max_attempts - r.attempts;
     const RequestClass& c = settings.classes[r.request_class];
     if (left <= 0 || tries_left <= 0 || (r.ran_at >= 0 && c.repeat == Repeat::unsafe)) return finish(id, r);
-    if (beginning + failures.at(now, c.slo_us) >= limit) return;  // held: the sweep tries again
+    Setups& begun = setups.of(r.only, now);
+    if (begun.beginning + begun.failures.at(now, c.slo_us) >= begun.limit)
+      return;  // held: the sweep tries again
     int i = pick(r);
     if (i < 0) return;
     Time patience = std::min(left, std::max(c.slo_us, left / tries_left));
@@ -483,7 +482,7 @@
     r.attempts += 1;
     r.backend = i;
     r.out = true;
-    beginning += c.stream;
+    begun.beginning += c.stream;
     r.sent_at = now;
     r.tried.push_back(i);
     actions->push_back(Submit{id, b.address, now + patience});
@@ -521,8 +520,9 @@
     Request* r = find(event.id, event.attempt);
     if (!r || r->open) return;
     r->open = true;
-    if (2 * beginning >= limit) limit += 1;
-    beginning -= 1;
+    Setups& begun = setups.of(r->only, now);
+    if (2 * begun.beginning >= begun.limit) begun.limit += 1;
+    begun.beginning -= 1;
     if (!r->counted) backends[r->backend].count(*r, held);
   }
 
@@ -531,7 +531,7 @@
     if (!r) return;
     Backend& b = backends[r->backend];
     r->out = false;
-    beginning -= settings.classes[r->request_class].stream && !r->open;
+    if (!r->open) setups.of(r->only, now).beginning -= settings.classes[r->request_class].stream;
     b.uncount(*r, held);
     judge(b, event, *r);
     if (event.terminal || r->answered || r->open) return void(requests.erase(event.id));
@@ -548,9 +548,11 @@
     if (event.outcome == Outcome::reset) suspect(b), worsen(b, 2 * shortest_aim_ms);
     if (event.outcome == Outcome::full) worsen(b, kMostEvidence * shortest_aim_ms);
     if (r.open || (event.outcome != Outcome::error && event.outcome != Outcome::timeout)) return;
-    failures.add(1, now, settings.classes[r.request_class].slo_us);
-    if (r.sent_at > limit_cut)
-      limit = std::max(kFewest, std::min(limit, beginning + 1.0) / 2), limit_cut = now;
+    Setups& begun = setups.of(r.only, now);
+    begun.failures.add(1, now, settings.classes[r.request_class].slo_us);
+    if (r.sent_at <= begun.limit_cut) return;
+    begun.limit = std::max(kFewest, std::min(begun.limit, begun.beginning + 1.0) / 2);
+    begun.limit_cut = now;
   }
 
   void on(const NoteEvent& event) {
@@ -630,6 +632,7 @@
     open_cold_backends();
     adapt_admission();
     probe_due_backends();
+    setups.forget_unused(now);
     std::vector<char> in_trouble;
     for (const Backend& b : backends) in_trouble.push_back(troubled(b));
     if (std::find(in_trouble.begin(), in_trouble.end(), 1) != in_trouble.end())
--- a/src/state.h
+++ b/src/state.h
@@ -44,6 +44,50 @@
   Time look_until = 0;  // it waits for one until then
 };
 
+// The attempts that are being set up within one set of workers.
+struct Setups {
+  int beginning = 0;   // attempts that are out and do not stand yet
+  double limit = 1e9;  // of those at once: failures shrink it
+  Time limit_cut = 0;  // only by what was sent since
+  Faded failures;      // of attempts to set one up
+  Time used_at = 0;
+};
+
+// The setups by the set of workers that a request may use (none: any), so that a set which answers nothing
+// holds only its own requests back. A set that is not used for a while is forgotten.
+class SetupsOfSets {
+ public:
+  using Set = std::shared_ptr<const std::set<std::string>>;
+
+  // A new set may be an old one without the worker that has left the list: it begins at the lowest limit of
+  // those that share a worker with it.
+  Setups& of(const Set& only, Time now) {
+    auto [it, fresh] = sets_.try_emplace(only);
+    Setups& made = it->second;
+    made.used_at = now;
+    if (!fresh) return made;
+    for (const auto& [other, setups] : sets_)
+      if (setups.limit < made.limit && share_a_worker(only, other)) made.limit = setups.limit;
+    return made;
+  }
+  void forget_unused(Time now) {
+    std::erase_if(sets_, [now](const auto& entry) {
+      return entry.first && entry.second.beginning == 0 && now - entry.second.used_at > kMemory;
+    });
+  }
+
+ private:
+  static constexpr Time kMemory = 10'000'000;
+
+  static bool share_a_worker(const Set& one, const Set& other) {
+    return !one || !other || std::any_of(one->begin(), one->end(), [&](const std::string& worker) {
+      return other->count(worker);
+    });
+  }
+
+  std::map<Set, Setups> sets_;
+};
+
 // Connections accepted anywhere, by group; 0: of none.
 struct Held {
   std::unordered_map<std::uint64_t, int> groups;
--- a/tests/fleet/processes/balancers.cpp
+++ b/tests/fleet/processes/balancers.cpp
@@ -87,7 +87,9 @@
       {"settings", own},
       {"fleet", one.folder + "/fleet.json"},
       {"rebalance", one.folder + "/rebalance.json"}};  // off unless a scenario writes it
-  for (const char* off : {"quic", "remote_write", "log"}) whole[off] = "/nonexistent";
+  for (const char* off : {"quic", "remote_write"}) whole[off] = "/nonexistent";
+  const char* log = std::getenv("MARBLEHUB_LOG");  // a log file of one's own, to trace a call
+  whole["log"] = log ? log : "/nonexistent";
   std::ofstream(one.folder + "/config.json") << whole.dump(1);
 }
 
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -61,6 +61,34 @@
   CHECK(std::count(b.declined.begin(), b.declined.end(), id) == 1);
 }
 
+// A pool that answers nothing fills its own limit of attempts at once. A call of another pool does not wait
+// for them, and one of the same pool does.
+TEST_CASE("calls of a pool that answers nothing hold no call of another pool back") {
+  Bench b;
+  b.list(ListForm::all, workers(4));
+  auto set = [](const char* one, const char* other) {
+    return std::make_shared<const std::set<std::string>>(std::set<std::string>{one, other});
+  };
+  auto ask = [&b](std::shared_ptr<const std::set<std::string>> only) {
+    std::uint64_t id = b.next_id++;
+    b.handle(RequestEvent{id, 0, 2'900'000, 0, false, 0, std::move(only)});
+    return id;
+  };
+  const auto silent = set("1", "2"), lively = set("3", "4");
+  b.run(1'000'000);
+  for (int i = 0; i < 10; ++i) ask(silent);
+  b.run(700'000);
+  for (std::uint64_t id = 1; id <= 10; ++id)
+    b.handle(ResultEvent{id, 0, false, b.placed[id], 700'000, Outcome::timeout, {}});
+  CHECK(!b.placed.count(ask(silent)));
+  CHECK(b.placed.count(ask(lively)));
+  // News of the list make new sets: the limit of the old one, half of ten, holds for these too
+  const auto silent_anew = set("1", "2");
+  int placed = 0;
+  for (int i = 0; i < 20; ++i) placed += static_cast<int>(b.placed.count(ask(silent_anew)));
+  CHECK(placed == 5);
+}
+
 TEST_CASE("where the settings know of no groups, connections spread over all workers") {
   Bench b;
   b.list(ListForm::all, twelve());
