--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,7 @@
 test:
 	cmake -B build-test -DCMAKE_BUILD_TYPE=Release
 	cmake --build build-test -j$(NPROC)
-	ctest --test-dir build-test --output-on-failure -j4 -LE processes
-	ctest --test-dir build-test --output-on-failure -j3 -L processes
+	tools/ci/run_tests.sh build-test 4
 
 lint:
 	clang-format --dry-run -Werror $(SOURCES)
--- /dev/null
+++ b/tests/ci/run_tests_test.sh
@@ -0,0 +1,110 @@
+#!/bin/bash
+# tools/ci/run_tests.sh against a small ctest project of its own: which results it passes over, and what it prints.
+set -euo pipefail
+
+run_tests=$(cd "$(dirname "$0")/../../tools/ci" && pwd)/run_tests.sh
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+failures=0
+
+# project TEST...: a ctest project of these tests, each `name` or `name=command`; a name with "process" in it has the
+# label `processes`.
+project() {
+  local test
+  : >"$folder/CTestTestfile.cmake"
+  for test in "$@"; do
+    local name=${test%%=*} command=true
+    [[ $test == *=* ]] && command=${test#*=}
+    echo "add_test([=[$name]=] $command)" >>"$folder/CTestTestfile.cmake"
+    if [[ $name == *process* ]]; then
+      echo "set_tests_properties([=[$name]=] PROPERTIES LABELS processes)" >>"$folder/CTestTestfile.cmake"
+    fi
+  done
+}
+
+property() { echo "set_tests_properties([=[$1]=] PROPERTIES $2)" >>"$folder/CTestTestfile.cmake"; }
+
+known_red() { printf '%s\n' "# a comment" "" "$@" >"$folder/KNOWN-RED.txt"; }
+
+# expect WHAT VERDICT [LINE...]: runs the project; the verdict is `passes` or `fails`, and the output has each LINE.
+expect() {
+  local what=$1 wanted=$2 verdict=passes line
+  shift 2
+  "$run_tests" "$folder" 2 "$folder/KNOWN-RED.txt" >"$folder/output" 2>&1 || verdict=fails
+  if [ "$verdict" != "$wanted" ]; then
+    echo "$what: $verdict, wanted: $wanted"
+    failures=$((failures + 1))
+    cat "$folder/output"
+  fi
+  for line in "$@"; do
+    grep -qxF -e "$line" "$folder/output" && continue
+    echo "$what: no line '$line' in the output"
+    failures=$((failures + 1))
+    cat "$folder/output"
+  done
+}
+
+known_red
+project one "two process"
+expect "all pass" passes "100% tests passed, 0 tests failed out of 1"
+tail -1 "$folder/output" | grep -q '^Total Test time' || { echo "the end is not ctest's"; failures=$((failures + 1)); }
+
+project one=false "two process"
+expect "an unlisted failure" fails "run_tests: one: fail" "100% tests passed, 0 tests failed out of 1"
+
+project one "two process=false"
+expect "an unlisted failure among the processes" fails "run_tests: two process: fail"
+
+project one "two process=false" "two process more"
+known_red "two process | the cause | issue 7"
+expect "a listed failure" passes "KNOWN-RED: two process: failed as known (fail): the cause; issue 7" \
+  "50% tests passed, 1 tests failed out of 2"
+
+project "a name's <b> & \"c\", d.* [e]=false" "a name's <b> & \"c\", dd* [e]"
+known_red "a name's <b> & \"c\", d.* [e] | the cause | issue 7"
+expect "a listed name of signs" passes \
+  "KNOWN-RED: a name's <b> & \"c\", d.* [e]: failed as known (fail): the cause; issue 7"
+
+project one=false "two process=false"
+known_red "two process | the cause | issue 7"
+expect "a failure beside a listed one" fails "run_tests: one: fail" \
+  "KNOWN-RED: two process: failed as known (fail): the cause; issue 7"
+
+project one "one more=false"
+known_red "one | the cause | issue 7"
+expect "a name that begins with a listed one" fails "KNOWN-RED: one: passes, take it off the list" \
+  "run_tests: one more: fail"
+
+project one "two process"
+known_red "two process | the cause | issue 7"
+expect "a listed one that passes" passes "KNOWN-RED: two process: passes, take it off the list"
+
+known_red "three | the cause | issue 7"
+expect "an unknown name" fails "run_tests: KNOWN-RED.txt: 'three' is the name of 0 tests, not of one"
+known_red "one | the cause"
+expect "a line without an issue" fails "run_tests: KNOWN-RED.txt: 'test | cause | issue' expected: one | the cause"
+
+project one two three four
+known_red "one | c | i" "two | c | i" "three | c | i" "four | c | i"
+expect "four listed" fails "run_tests: 4 tests are listed in KNOWN-RED.txt, 3 at most"
+known_red "one | c | i" "one | c | i"
+expect "one listed twice" fails "run_tests: KNOWN-RED.txt: 'one' is listed twice"
+known_red "one | c | i" "two | c | i" "three | c | i"
+expect "three listed" passes
+
+known_red
+project one two
+property two "DISABLED TRUE"
+expect "a disabled test" fails "run_tests: two: disabled"
+project one two=false
+property two "SKIP_RETURN_CODE 1"
+expect "a skipped test" fails "run_tests: two: notrun"
+project one two=/no/such/program
+expect "a test without a program" fails
+project
+expect "no tests" fails "run_tests: there are no tests"
+project one
+rm "$folder/KNOWN-RED.txt"
+expect "no list" fails "run_tests: $folder/KNOWN-RED.txt cannot be read"
+
+[ "$failures" -eq 0 ]
