--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -84,10 +84,7 @@
   Held held;
   double requests_seen = 0, probes_sent = 0;
   Faded asked;                  // requests, those that come back too
-  int beginning = 0;            // attempts that are out and do not stand yet
-  double limit = 1e9;           // of those at once: failures shrink it
-  Time limit_cut = 0;           // only by what was sent since
-  Faded failures;               // of attempts to set one up
+  SetupsOfSets setups;          // attempts that are out and do not stand yet
   double admitted = 1;          // the part of the new connections that is let in
   double share_of_one = 0;      // what a usual connection of each relay adds to the load of a unit of size
   double shortest_aim_ms = 50;  // of the messages on any connection
@@ -100,10 +97,7 @@
 
   Impl(Settings s, std::uint64_t seed, Time at)
       : Dice{std::mt19937_64(seed)}, settings(std::move(s)), now(at), began(at) {
-    double aim = 1e9;
-    for (const RequestClass& c : settings.classes)
-      if (c.message_aim_us > 0) aim = std::min(aim, static_cast<double>(c.message_aim_us) / kMillisecond);
-    if (aim < 1e9) shortest_aim_ms = aim;
+    shortest_aim_ms = shortest_message_aim_ms(settings, shortest_aim_ms);
   }
 
   // ---- Backend list and discovery ----------------------------------------------------------------
@@ -295,10 +289,6 @@
     return true;
   }
 
-  bool has_tried(const Request& r, int i) const {
-    return std::find(r.tried.begin(), r.tried.end(), i) != r.tried.end();
-  }
-
   // Its weight as it fills up. An old report of fullness is not believed.
   double ease(const Backend& b) const {
     if (evidence(b) > kGroupLate * shortest_aim_ms) return 1e-9;
@@ -318,7 +308,7 @@
       if (b.down) continue;
       double u = (static_cast<double>(mixed(b.hash ^ r.group) >> 11) + 1) * 0x1p-53;
       double big = warmth(b) < 1 ? usual : b.scale;  // a crowd would be a big cold one's end
-      double weight = b.scale * big * ease(b) * (has_tried(r, may[k]) ? kTried : 1);
+      double weight = b.scale * big * ease(b) * (r.has_tried(may[k]) ? kTried : 1);
       ranked.emplace_back(-std::log(u) / weight, k);
     }
     std::sort(ranked.begin(), ranked.end());
@@ -382,7 +372,7 @@
       weight[k] *= std::pow(std::clamp(1 - b.level, kLeastRoom, 1.0), kRoom);
       weight[k] *= open(b) ? warmth(b) : 0;
       if (!b.sampled) weight[k] *= kOutside;
-      if (has_tried(r, may[k])) weight[k] *= kTried;
+      if (r.has_tried(may[k])) weight[k] *= kTried;
       total += weight[k];
     }
     double drawn = uniform() * total;
@@ -474,7 +464,8 @@
     int tries_left = settings.max_attempts - r.attempts;
     const RequestClass& c = settings.classes[r.request_class];
     if (left <= 0 || tries_left <= 0 || !repeatable(r)) return finish(id, r);
-    if (beginning + failures.at(now, c.slo_us) >= limit) return;  // held: the sweep tries again
+    Setups& begun = setups.of(r.only, now);
+    if (begun.at_limit(now, c.slo_us)) return;  // held: the sweep tries again
     int i = pick(r);
     if (i < 0) return;
     Time patience = std::min(left, std::max(c.slo_us, left / tries_left));
@@ -488,7 +479,7 @@
     r.attempts += 1;
     r.backend = i;
     r.out = true;
-    beginning += c.stream;
+    begun.beginning += c.stream;
     r.sent_at = now;
     r.tried.push_back(i);
     actions->push_back(Submit{id, b.address, now + patience});
@@ -526,8 +517,9 @@
     Request* r = find(event.id, event.attempt);
     if (!r || r->open) return;
     r->open = true;
-    if (2 * beginning >= limit) limit += 1;
-    beginning -= 1;
+    Setups& begun = setups.of(r->only, now);
+    if (2 * begun.beginning >= begun.limit) begun.limit += 1;
+    begun.beginning -= 1;
     if (!r->counted) backends[r->backend].count(*r, held);
   }
 
@@ -536,7 +528,7 @@
     if (!r) return;
     Backend& b = backends[r->backend];
     r->out = false;
-    beginning -= settings.classes[r->request_class].stream && !r->open;
+    if (!r->open) setups.of(r->only, now).beginning -= settings.classes[r->request_class].stream;
     b.uncount(*r, held);
     judge(b, event, *r);
     if (event.terminal || r->answered || r->open) return void(requests.erase(event.id));
@@ -553,9 +545,11 @@
     if (event.outcome == Outcome::reset) suspect(b), worsen(b, 2 * shortest_aim_ms);
     if (event.outcome == Outcome::full) worsen(b, kMostEvidence * shortest_aim_ms);
     if (r.open || (event.outcome != Outcome::error && event.outcome != Outcome::timeout)) return;
-    failures.add(1, now, settings.classes[r.request_class].slo_us);
-    if (r.sent_at > limit_cut)
-      limit = std::max(kFewest, std::min(limit, beginning + 1.0) / 2), limit_cut = now;
+    Setups& begun = setups.of(r.only, now);
+    begun.failures.add(1, now, settings.classes[r.request_class].slo_us);
+    if (r.sent_at <= begun.limit_cut) return;
+    begun.limit = std::max(kFewest, std::min(begun.limit, begun.beginning + 1.0) / 2);
+    begun.limit_cut = now;
   }
 
   void on(const NoteEvent& event) {
@@ -635,6 +629,7 @@
     open_cold_backends();
     adapt_admission();
     probe_due_backends();
+    setups.forget_unused(now);
     std::vector<char> in_trouble;
     for (const Backend& b : backends) in_trouble.push_back(troubled(b));
     if (std::find(in_trouble.begin(), in_trouble.end(), 1) != in_trouble.end())
--- a/src/state.h
+++ b/src/state.h
@@ -42,6 +42,43 @@
   std::vector<int> tried;
   int looks = 0;        // reports that were asked for before it is sent
   Time look_until = 0;  // it waits for one until then
+
+  bool has_tried(int i) const { return std::find(tried.begin(), tried.end(), i) != tried.end(); }
+};
+
+// The attempts that are being set up within one set of workers.
+struct Setups {
+  int beginning = 0;   // attempts that are out and do not stand yet
+  double limit = 1e9;  // of those at once: failures shrink it
+  Time limit_cut = 0;  // only by what was sent since
+  Faded failures;      // of attempts to set one up
+  Time used_at = 0;
+
+  // Failures of the last `memory` count like attempts that are still out.
+  bool at_limit(Time now, Time memory) const { return beginning + failures.at(now, memory) >= limit; }
+};
+
+// The setups by the set of workers that a request may use (none: any), so that a set which answers nothing
+// holds only its own requests back. A set that is not used for a while is forgotten.
+class SetupsOfSets {
+ public:
+  using Set = std::shared_ptr<const std::set<std::string>>;
+
+  Setups& of(const Set& only, Time now) {
+    Setups& setups = sets_[only];
+    setups.used_at = now;
+    return setups;
+  }
+  void forget_unused(Time now) {
+    std::erase_if(sets_, [now](const auto& entry) {
+      return entry.first && entry.second.beginning == 0 && now - entry.second.used_at > kMemory;
+    });
+  }
+
+ private:
+  static constexpr Time kMemory = 10'000'000;  // longer than a request waits
+
+  std::map<Set, Setups> sets_;
 };
 
 // Connections accepted anywhere, by group; 0: of none.
@@ -130,6 +167,14 @@
   }
 };
 
+// The shortest aim of the messages on any connection, in milliseconds; `otherwise` where none is stated.
+inline double shortest_message_aim_ms(const Settings& settings, double otherwise) {
+  Time shortest = 0;
+  for (const RequestClass& c : settings.classes)
+    if (c.message_aim_us > 0 && (shortest == 0 || c.message_aim_us < shortest)) shortest = c.message_aim_us;
+  return shortest > 0 ? static_cast<double>(shortest) / 1000 : otherwise;
+}
+
 // ---- Read for a relay's own metrics
 
 inline std::vector<std::string> down_of(const std::vector<Backend>& backends) {
