Let recorded exchanges start, kill and restart the program at chosen moments

The crossings of a planned restart need a program that is held before it has read its configuration, one that gets a signal while it exits, and one that is killed and started again on its port; none of the steps did this.

New steps: start held, configure, storm, kill, restart, others, unreachable, refused, narrow, fill and last, each described in exchange_player.h. A step that fails after the program's end no longer sends SIGUSR1 to the process group of the test (kill with process id 0), which ended tests beside it.

--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -96,7 +96,7 @@
     std::getline(in >> std::ws, rest);
     if (who == "set") return set(verb, json::parse(rest));
     if (who == "worker") return add_worker(verb);
-    if (who == "start") return start();
+    if (who == "start") return start(verb == "held" ? Launch::held : Launch::awaited);
     if (who == "wait") return pump_for(std::stoi(verb));
     if (who == "registry") return tell(verb, rest);
     if (who == "signal") return program_->signal(signal_number(verb));
@@ -131,6 +131,12 @@
           },
           kPatience);
     if (who == "files") return void(files_ = static_cast<rlim_t>(std::stoi(verb)));
+    if (who == "unreachable") return add_unreachable(std::stoi(verb));
+    if (who == "configure") return program_->release_config();
+    if (who == "storm") return storm(signal_number(verb));
+    if (who == "kill") return program_->kill_and_reap();
+    if (who == "restart") return program_->relaunch();
+    if (who == "others") return start_others(std::stoi(verb), std::stoi(rest));
     if (who == "quiet") {
       pump();
       INFO("had come: " << conns_.at(verb)->in);
@@ -152,6 +158,10 @@
     if (verb == "connect") return void(conn(who));
     if (verb == "stall") return void(conn(who).stalled = true);
     if (verb == "read") return void(conn(who).stalled = false);
+    if (verb == "narrow") return connect_narrow(who);
+    if (verb == "refused") return require_refused();
+    if (verb == "fill") return fill(conn(who), rest + "\r\n");
+    if (verb == "last") return expect_last(conn(who), rest);
     if (verb == "bytes") return send_bytewise(conn(who), rest + "\r\n");
     if (verb == "ends" || verb == "discards") {
       Conn& c = conn(who);
@@ -181,16 +191,50 @@
     Worker& w = workers_[name];
     w.fd = bound(SOCK_STREAM | SOCK_NONBLOCK);
     ::listen(w.fd, 64);
-    entries_[name] = {{"name", name},  {"address", text_of(port_of(w.fd))},
-                      {"zone", "a"},   {"type", "m"},
-                      {"group", 0},    {"status", "ready"},
-                      {"weight", 1.0}, {"since_ms", 0}};
+    add_entry(name, text_of(port_of(w.fd)));
   }
-  void start() {
+  void add_entry(const std::string& name, const std::string& address) {
+    entries_[name] = {{"name", name}, {"address", address}, {"zone", "a"},   {"type", "m"},
+                      {"group", 0},   {"status", "ready"},  {"weight", 1.0}, {"since_ms", 0}};
+  }
+  void add_unreachable(int count) {
+    for (int i = 0; i < count; ++i) add_entry("unreachable" + std::to_string(i), text_of(1));
+  }
+  std::unique_ptr<Program> launched(Launch launch) {
     json known = json::array();
     for (auto& [name, entry] : entries_) known.push_back(entry);
-    program_ = std::make_unique<Program>(known, settings_, port_of(registry_fd_), "/nonexistent",
-                                         "/nonexistent", files_, "/nonexistent", index_);
+    return std::make_unique<Program>(known, settings_, port_of(registry_fd_), "/nonexistent", "/nonexistent",
+                                     files_, "/nonexistent", index_, "/nonexistent", launch);
+  }
+  void start(Launch launch) { program_ = launched(launch); }
+  void storm(int number) {
+    for (std::int64_t end = now_ms() + 2 * kPatience; now_ms() < end;) {
+      for (int i = 0; i < 1000; ++i) program_->signal(number);
+      if (program_->has_ended()) return;
+    }
+    FAIL("the program has not ended");
+  }
+  void start_others(int count, int ms) {
+    std::int64_t end = now_ms() + ms;
+    for (int i = 0; i < count; ++i) others_.push_back(launched(Launch::at_once));
+    for (auto& other : others_) {
+      INFO("the log: " << other->log());
+      REQUIRE(answers_ping(other->port, end));
+    }
+  }
+  static bool answers_ping(int port, std::int64_t end) {
+    for (; now_ms() < end; usleep(10000)) {
+      Conn c;
+      c.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      sockaddr_in to = loopback(port);
+      if (::connect(c.fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) continue;
+      c.send("PING\r\n");
+      for (; now_ms() < end && c.end == Conn::open; usleep(1000)) {
+        c.read();
+        if (std::optional<std::string> line = c.line()) return *line == "PONG";
+      }
+    }
+    return false;
   }
   void tell(const std::string& name, const std::string& status) {
     if (name == "503") {
@@ -280,6 +324,44 @@
       until([&] { return bytes_untaken(to.fd) == 0; }, kPatience);
     }
   }
+  void connect_narrow(const std::string& who) {
+    constexpr int receive_buffer = 4096;
+    auto c = std::make_shared<Conn>();
+    c->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    sockaddr_in to = loopback(program_->port);
+    REQUIRE(::connect(c->fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    conns_[who] = std::move(c);
+  }
+  void require_refused() {
+    Conn c;
+    c.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to = loopback(program_->port);
+    REQUIRE(::connect(c.fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0);
+    REQUIRE(errno == ECONNREFUSED);
+  }
+  void fill(Conn& to, const std::string& line) {
+    constexpr std::int64_t quiet_ms = 100;
+    std::string left = line;
+    for (std::int64_t end = now_ms() + quiet_ms; now_ms() < end;) {
+      ssize_t n = ::send(to.fd, left.data(), left.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n <= 0) {
+        usleep(1000);
+        continue;
+      }
+      left.erase(0, static_cast<std::size_t>(n));
+      if (left.empty()) left = line;
+      end = now_ms() + quiet_ms;
+    }
+  }
+  void expect_last(Conn& c, std::string text) {
+    std::size_t limit = text.rfind(" [");
+    int ms = limit == std::string::npos ? kPatience : std::stoi(text.substr(limit + 2));
+    if (limit != std::string::npos) text.resize(limit);
+    until([&] { return c.end != Conn::open; }, ms);
+    REQUIRE(c.end == Conn::fin);
+    REQUIRE(c.in.ends_with(text + "\r\n"));
+  }
   // What the program has not acknowledged; the kernel acknowledges what it has queued for the program, so a
   // short pause lets the program read it as a piece of its own.
   int bytes_untaken(int fd) {
@@ -391,6 +473,7 @@
   rlim_t files_ = 1024;
   std::unique_ptr<Conn> registry_;
   std::unique_ptr<Program> program_;
+  std::vector<std::unique_ptr<Program>> others_;
 };
 
 }  // namespace
--- a/tests/support/exchange_player.h
+++ b/tests/support/exchange_player.h
@@ -43,6 +43,17 @@
 //   running             the program has not exited
 //   counter NAME N      printed on USR1 or at exit; atleast NAME N: N or more
 //   exit N [MS]         the program must exit so, within MS milliseconds
+//   unreachable N       N further workers in the list of the start, where nobody listens; before the start
+//   start held          starts the program, which waits for its configuration until the step `configure`
+//   configure           hands it over; the program starts as usual, but the step does not wait for it
+//   storm NAME          sends the signal again and again, without a pause, until the program has ended
+//   kill                SIGKILL, and waits until the program has ended
+//   restart             starts the program that has ended again, on the same port, and waits until it listens
+//   c1 narrow           connects with a small receive buffer, so that the program soon keeps what it cannot send
+//   c1 refused          a connection to the program's port is refused
+//   W.1 fill TEXT       sends the line again and again until the program has taken no more for 100 ms
+//   c1 last TEXT [N]    its connection ends in order, and the last line that has come ends with TEXT
+//   others N MS         N further programs start together; each answers PING with PONG within MS milliseconds
 // clang-format on
 #pragma once
 
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -7,6 +7,7 @@
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -106,13 +107,17 @@
   return path;
 }
 
+// How a program is started: awaited until it listens; at once, without waiting; or held at the reading of its
+// configuration, until release_config.
+enum class Launch { awaited, at_once, held };
+
 class Program {
  public:
   Program(json known, json settings, int registry_port, const std::string& quic_file = "/nonexistent",
           const std::string& remote_write_file = "/nonexistent", rlim_t files = 1024,
           const std::string& rebalance_file = "/nonexistent", std::int64_t version = 1,
-          const std::string& fleet_file = "/nonexistent")
-      : port(free_port(SOCK_STREAM)) {
+          const std::string& fleet_file = "/nonexistent", Launch launch = Launch::awaited)
+      : port(free_port(SOCK_STREAM)), files_(files) {
     char folder[] = "/tmp/marblehub-test-XXXXXX";
     if (!mkdtemp(folder)) throw std::runtime_error("no temporary folder");
     folder_ = folder;
@@ -127,11 +132,36 @@
                {"remote_write", remote_write_file},
                {"rebalance", rebalance_file},
                {"fleet", fleet_file}};
-    write(config_.dump());
+    if (launch == Launch::held) {
+      mkfifo(config_file().c_str(), 0600);
+    } else {
+      write(config_.dump());
+    }
+    this->launch();
+    if (launch == Launch::awaited) wait_until_listening();
+    if (launch == Launch::held) held_config_.open(config_file());  // returns once the program reads from it
+  }
+  // Starts the program again, on the same port; for one that has ended.
+  void relaunch() {
+    std::remove((folder_ + "/log").c_str());  // else the old one would be taken for the new one's
+    launch();
+    wait_until_listening();
+  }
+  void release_config() {
+    ::signal(SIGPIPE, SIG_IGN);  // should the program have ended, a later step fails, not the test's process
+    held_config_ << config_.dump();
+    held_config_.close();
+  }
+  void kill_and_reap() {
+    ::kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = 0;
+  }
+  void launch() {
     pid_ = fork();
     if (pid_ == 0) {
       setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
-      rlimit limit{files, files};
+      rlimit limit{files_, files_};
       setrlimit(RLIMIT_NOFILE, &limit);
       close_range(3, ~0U, 0);            // so that it begins with the same descriptors wherever the test runs
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive a test that crashes
@@ -139,6 +169,8 @@
       execl(program_path().c_str(), "marblehub", nullptr);
       _exit(127);
     }
+  }
+  void wait_until_listening() const {
     for (int i = 0; i < 400 && log().find("listens on") == std::string::npos; ++i) usleep(10000);
   }
   ~Program() {
@@ -158,7 +190,9 @@
   json& config() { return config_; }
   std::string config_file() const { return folder_ + "/config.json"; }
   void remove_config() { std::remove((folder_ + "/config.json").c_str()); }
-  void signal(int number) { ::kill(pid_, number); }
+  void signal(int number) {
+    if (pid_ > 0) ::kill(pid_, number);  // 0, once it has ended, would be the test's own process group
+  }
   // Stops the process; what reaches its sockets until SIGCONT is all ready at its next turn.
   void freeze() {
     ::kill(pid_, SIGSTOP);
@@ -173,6 +207,12 @@
     pid_ = 0;
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   }
+  // Whether it has ended; its exit code stays to be asked for.
+  bool has_ended() const {
+    siginfo_t info{};
+    return waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == pid_;
+  }
   std::string log() const {
     std::ifstream file(folder_ + "/log");
     std::ostringstream text;
@@ -207,8 +247,10 @@
   const int port;
 
  private:
+  const rlim_t files_;
   std::string folder_;
   json config_;
+  std::ofstream held_config_;
   pid_t pid_ = 0;
 };
 
