Derive the planned restart from the longest deadline and leave no client unanswered

SIGKILL may come the settings' longest deadline (3 s at most) and 0.7 s after SIGTERM, but the moments of a restart were constants of a 3 s deadline: with one of 1 s, what stood after 1.7 s was lost. Seen by tests of two events in one turn of the loop, and mended where the cause was:

- src/main.cpp retire_step: RestartPlan now follows give_up_us, read with the starting file; at the last moment a client inside a line is moved too.
- retire_step counted only calls and standing connections as business: a client accepted with half a line, or with none, was closed by the exit with no answer.
It is now waited for, read once more, and answered BUSY when the span of the moves is over.
- Listener::close shut clients out that waited for a free descriptor.
- ClientLink::never_asked judged a client by its time before reading the line that lay in the socket, and reset it.
- The exit cut off streams that still had a last line to be read; it now waits for clients' streams within the plan (Loop::awaits).
- SIGTERM, SIGINT, SIGUSR1 and SIGUSR2 ended the process while it started or exited; they now wait like SIGHUP (SignalGate).

Ruled out, each by a test or by reading (docs/crossings/shutdown.md): double moves by Dispatcher::retire(0), drains told during a restart, a second answer at the last moment, a port that cannot be bound again after SIGKILL.

tests/fleet_files_test.cpp left give_up_us out of its settings since nobody read the key; it is read now and stays in, so the check is stricter.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -126,6 +126,18 @@
   return list;
 }
 
+// The platform counts one that is longer, or not stated, as 3 s.
+static lemonspread::Time longest_deadline_in(const Options& settings) {
+  constexpr double most_us = 3e6;
+  double longest = 0;
+  int classes = settings.number<int>("request_classes.count", 1);
+  for (int i = 0; i < classes; ++i) {
+    std::string key = "request_classes." + std::to_string(i) + ".give_up_us";
+    longest = std::max(longest, settings.number_or<double>(key, 0, most_us));
+  }
+  return static_cast<lemonspread::Time>(std::min(longest, most_us));
+}
+
 Startup startup_from(const Options& all) {
   Startup s;
   s.name = all.text("name");
@@ -138,7 +150,9 @@
   }
   s.sockets = all.number_or<std::int64_t>("limits.sockets", 16, s.sockets);
   if (all.find("known.snapshot")) s.known = list_from(below(all, "known", "known: "));
-  s.settings = settings_from(below(all, "settings", "settings: "));
+  Options settings = below(all, "settings", "settings: ");
+  s.settings = settings_from(settings);
+  s.longest_deadline = longest_deadline_in(settings);
   if (const std::string* file = all.find("quic")) s.quic_file = *file;
   if (const std::string* file = all.find("remote_write")) s.remote_write_file = *file;
   if (const std::string* file = all.find("rebalance")) s.rebalance_file = *file;
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -50,7 +50,8 @@
   std::int64_t sockets = 1024;
   WorkerList known;
   lemonspread::Settings settings;
-  std::string quic_file = "deploy/quic.json";                  // of the second front; off where there is none
+  lemonspread::Time longest_deadline = 0;      // of the classes' give_up_us, as a planned restart counts it
+  std::string quic_file = "deploy/quic.json";  // of the second front; off where there is none
   std::string remote_write_file = "deploy/remote_write.json";  // the same
   std::string rebalance_file = "deploy/rebalance.json";        // of the planner of moves; the same
   std::string fleet_file = "deploy/fleet.json";                // of what balancers keep together; the same
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -497,12 +497,18 @@
   tell(ClientGoneEvent{id});
 }
 
-void Dispatcher::answer_all() {
+void Dispatcher::end_all() {
   std::vector<std::uint64_t> ids;
-  for (auto& [id, exchange] : calls_)
-    if (exchange->state_ == Exchange::State::waiting) ids.push_back(id);
-  for (std::uint64_t id : ids)
-    if (Exchange* exchange = find(id)) answer_and_close(*exchange, Answer::overload, 0);
+  for (auto& [id, exchange] : calls_) ids.push_back(id);
+  for (std::uint64_t id : ids) {
+    Exchange* exchange = find(id);
+    if (!exchange) continue;
+    if (exchange->state_ == Exchange::State::waiting) {
+      answer_and_close(*exchange, Answer::overload, 0);
+    } else {
+      exchange->redirect_now();  // inside a line too: what is held at the exit is cut off with no word
+    }
+  }
 }
 
 void Dispatcher::retire(Time span) {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -57,7 +57,8 @@
 
   // ---- A planned restart: every standing connection is told to move within `span`.
   void retire(Time span);
-  void answer_all();  // the last moment: no call taken goes without its answer
+  // The last moment: no call taken goes without its answer, and no client that stands without MOVE.
+  void end_all();
   std::size_t unanswered() const { return unanswered_; }
   std::size_t standing() const { return calls_.size() - unanswered_; }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <iostream>
 #include <optional>
+#include <vector>
 
 #include "core/dispatcher.h"
 #include "fleet/service/service.h"
@@ -24,9 +25,28 @@
 
 using core::Time;
 
-// A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
-constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kLastMoment = 3'300'000, kTick = 50'000;
 constexpr Time kPlanEvery = 1'000'000;
+constexpr Time kTick = 50'000;  // between two steps of a planned restart
+
+// Signals that have a watcher. Before it stands and after it has gone, each of them would end the process.
+const std::vector<int> kWatchedSignals = {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2};
+
+// The moments of a planned restart, counted from SIGTERM. SIGKILL comes no sooner than the longest deadline,
+// at most 3 s, and 0.7 s more.
+struct RestartPlan {
+  explicit RestartPlan(Time longest_deadline)
+      : move_span(longest_deadline / 2),
+        all_asked_and_moved(still_coming + move_span),
+        last_moment(std::max(longest_deadline + 300'000, all_asked_and_moved)),
+        exit_by(longest_deadline + 550'000) {}
+
+  const Time still_coming = 450'000;  // new clients come for 0.4 s
+  const Time move_span;               // from then on standing clients are told to move, spread over so long
+  // From then on who has sent no whole line is let go, and who is set up is told to move at once.
+  const Time all_asked_and_moved;
+  const Time last_moment;  // every call is answered, and every client that stands is told to move
+  const Time exit_by;      // until then the exit waits for the last lines to be read
+};
 
 class Program {
  public:
@@ -34,6 +54,7 @@
       : path_(std::move(path)),
         startup_(std::move(loaded.startup)),
         values_(std::move(loaded.values)),
+        plan_(startup_.longest_deadline),
         room_(startup_.sockets),
         probes_(loop_, startup_.settings.connect_timeout_us),
         registry_(loop_, startup_.registry, startup_.known),
@@ -73,7 +94,7 @@
     });
     log::threshold = log_level(startup_);
     log::info("{} listens on {}", startup_.name, startup_.listen);
-    net::SignalGate hangups(SIGHUP);
+    net::SignalGate signals(kWatchedSignals);
     if (rebalance_) plan_tick_.start(kPlanEvery);
     loop_.run();
     print();
@@ -225,26 +246,39 @@
 
   void retire_step() {
     Time since = loop_.now() - retiring_since_;
-    if (since >= kStillComing && !moving_) {
-      moving_ = true;
-      listener_.close();
-      if (quic_) quic_->close();
-      dispatcher_.retire(kMoveSpan);
+    if (since >= plan_.still_coming) take_no_more();
+    if (since >= plan_.all_asked_and_moved) {
+      listener_.turn_away_silent();
+      dispatcher_.retire(0);  // those that were set up since
     }
-    if (moving_ && since > kStillComing + kMoveSpan) dispatcher_.retire(0);  // those that were set up since
-    bool empty = moving_ && dispatcher_.standing() == 0 && dispatcher_.unanswered() == 0;
-    if (empty && last_seen_empty_ == 0) {
+    if (since >= plan_.last_moment) dispatcher_.end_all();
+    if (empty() && last_seen_empty_ == 0) {
       last_seen_empty_ = since;
       if (fleet_) fleet_->leave();
     }
-    if (since > kLastMoment) dispatcher_.answer_all();
-    if (since > kLastMoment + kTick || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
+    bool done = empty() && since - last_seen_empty_ > 2 * kTick && !loop_.awaits();
+    if (done || since >= plan_.exit_by) return loop_.stop();
     retire_tick_.start(kTick);
   }
 
+  void take_no_more() {
+    listener_.close();
+    if (moving_) return;
+    moving_ = true;
+    if (quic_) quic_->close();
+    dispatcher_.retire(plan_.move_span);
+  }
+
+  // Nobody is here any more, and nobody will come.
+  bool empty() const {
+    return listener_.closed() && listener_.not_asked_yet() == 0 && dispatcher_.standing() == 0 &&
+           dispatcher_.unanswered() == 0;
+  }
+
   const std::string path_;
   const config::Startup startup_;
   const config::Values values_;  // of the file it was started with
+  const RestartPlan plan_;
   metrics::Registry metrics_;
   net::Loop loop_;
   net::Room room_;
@@ -278,9 +312,8 @@
     return word == "--help" ? 0 : 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  // Before its watcher stands and after it has gone, a SIGHUP would end the process: until then it waits, and
-  // one that comes while the program exits is never delivered.
-  marblehub::net::SignalGate::shut(SIGHUP);
+  // Until their watchers stand they wait, and one that comes while the program exits is never delivered.
+  marblehub::net::SignalGate::shut(marblehub::kWatchedSignals);
   try {
     const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -105,11 +105,18 @@
   if (!fd_) return;
   while (accept_one()) {
   }
+  if (room_.none() && someone_waits()) return;
   pause_.stop();
   io_.stop();
   fd_.reset();
 }
 
+void Listener::turn_away_silent() {
+  // Links that end meanwhile are only buried: they live until the next wait.
+  const std::vector<ClientLink*> all(asking_.begin(), asking_.end());
+  for (ClientLink* link : all) link->ask_now_or_leave();
+}
+
 void Listener::remove(ClientLink& link) {
   auto place = link.place_;
   loop_.bury(std::shared_ptr<ClientLink>(std::move(*place)));
@@ -202,11 +209,19 @@
   say_and_close("ERR\r\n", Stream::turn_away);
 }
 
+// After a stall of the process the line may lie unread in the socket: timers come before sockets.
 void ClientLink::never_asked() {
+  stream_->read_now();
+  if (!stream_ || asked_) return;
   listener_.silent_.add();
   end(Stream::drop);
 }
 
+void ClientLink::ask_now_or_leave() {
+  if (stream_ && !asked_) stream_->read_now();  // its line may lie unread in the socket
+  if (stream_ && !asked_) say_and_close("BUSY\r\n");
+}
+
 void ClientLink::make_way() {
   listener_.gave_way_.add();
   say_and_close("BUSY\r\n", Stream::drop);
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "core/dispatcher.h"
 #include "metrics/registry.h"
@@ -22,7 +23,14 @@
            Room& room, metrics::Registry& metrics);
   ~Listener();
 
-  void close();  // takes what has come, then no more
+  // Takes what has come, then no more. Stays open, to be closed again later, while someone waits to be
+  // accepted for whom no descriptor is free.
+  void close();
+  bool closed() const { return !fd_; }
+  // Reads once more from those that have not asked yet; one that still has sent no whole line is answered
+  // BUSY.
+  void turn_away_silent();
+  std::size_t not_asked_yet() const { return asking_.size(); }
 
  private:
   friend class ClientLink;
@@ -83,6 +91,7 @@
   void ask(std::string line);
   void malformed();
   void never_asked();
+  void ask_now_or_leave();
   void make_way();
   void stop_asking();
   void forward(std::string_view bytes);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,10 +11,10 @@
 namespace marblehub::net {
 namespace {
 
-void mask(int how, int number) {
+void mask(int how, const std::vector<int>& numbers) {
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, number);
+  for (int number : numbers) sigaddset(&signals, number);
   sigprocmask(how, &signals, nullptr);
 }
 
@@ -58,10 +58,18 @@
 }
 
 Time Loop::now() const { return steady() + offset_; }
+
+void Loop::keep(std::shared_ptr<void> object, bool awaited) {
+  void* key = object.get();
+  kept_.emplace(key, Kept{std::move(object), awaited});
+  awaited_ += awaited;
+}
+
 void Loop::release(void* object) {
   auto it = kept_.find(object);
   if (it == kept_.end()) return;
-  bury(std::move(it->second));
+  awaited_ -= it->second.awaited;
+  bury(std::move(it->second.object));
   kept_.erase(it);
 }
 
@@ -79,8 +87,10 @@
   ev_timer_start(loop, &self.wake_);
 }
 
-SignalGate::SignalGate(int number) : number_(number) { mask(SIG_UNBLOCK, number); }
-void SignalGate::shut(int number) { mask(SIG_BLOCK, number); }
+SignalGate::SignalGate(std::vector<int> numbers) : numbers_(std::move(numbers)) {
+  mask(SIG_UNBLOCK, numbers_);
+}
+void SignalGate::shut(const std::vector<int>& numbers) { mask(SIG_BLOCK, numbers); }
 
 void IoWatch::start(int fd, int events) {
   stop();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -44,9 +44,11 @@
   void before_wait(std::function<Time()> hook) { hook_ = std::move(hook); }
   // Keeps an object until no callback of it can be running: it is freed before the next wait.
   void bury(std::shared_ptr<void> object) { buried_.push_back(std::move(object)); }
-  // Owns an object that finishes by itself, until release. Whatever has not by the end goes with the loop.
-  void keep(std::shared_ptr<void> object) { kept_.emplace(object.get(), object); }
+  // Owns an object that finishes by itself, until release. Whatever has not by the end goes with the loop;
+  // the program's exit waits, for a bounded time, for those that are `awaited`.
+  void keep(std::shared_ptr<void> object, bool awaited);
   void release(void* object);
+  bool awaits() const { return awaited_ > 0; }
   struct ev_loop* raw() {
     return loop_;
   }
@@ -60,7 +62,12 @@
   Time offset_ = 0;
   std::function<Time()> hook_;
   std::vector<std::shared_ptr<void>> buried_;
-  std::map<void*, std::shared_ptr<void>> kept_;
+  struct Kept {
+    std::shared_ptr<void> object;
+    bool awaited;
+  };
+  std::map<void*, Kept> kept_;
+  std::size_t awaited_ = 0;  // of those kept
 };
 
 // One watcher of libev with a function to call. W is ev_io, ev_timer or ev_signal.
@@ -103,16 +110,16 @@
   ev_timer watcher_;
 };
 
-// Lets a signal that was shut out through while it lives.
+// Lets signals that were shut out through while it lives.
 class SignalGate {
  public:
-  explicit SignalGate(int number);
-  ~SignalGate() { shut(number_); }
+  explicit SignalGate(std::vector<int> numbers);
+  ~SignalGate() { shut(numbers_); }
   SignalGate(const SignalGate&) = delete;
-  static void shut(int number);  // it waits from then on
+  static void shut(const std::vector<int>& numbers);  // they wait from then on
 
  private:
-  const int number_;
+  const std::vector<int> numbers_;
 };
 
 class SignalWatch {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -24,6 +24,7 @@
 
 void Stream::adopt(Fd fd) {
   fd_ = std::move(fd);
+  accepted_ = true;
   int on = 1;
   setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   state_ = State::open;
@@ -164,7 +165,9 @@
   s.handler_ = nullptr;
   if (s.state_ != State::open || s.broken_) return drop(std::move(stream));
   s.lingering_ = true;
-  s.loop_.keep(std::shared_ptr<Stream>(std::move(stream)));
+  // A client must be able to read its last line; a worker need not take note of the end, only of the bytes.
+  bool awaited = s.accepted_ || !s.out_.empty();
+  s.loop_.keep(std::shared_ptr<Stream>(std::move(stream)), awaited);
   s.reading_ = true;
   s.watch();
   s.settle();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -74,6 +74,7 @@
   std::size_t sent_ = 0;
   std::size_t discarded_ = 0;  // read from the peer since its handler gave it up
   bool lingering_ = false;     // given up by its handler; the loop keeps it until it is done
+  bool accepted_ = false;      // the peer connected to us
 };
 
 }  // namespace marblehub::net
--- a/tests/fleet_files_test.cpp
+++ b/tests/fleet_files_test.cpp
@@ -55,8 +55,6 @@
              {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", known()}}},
              {"settings", settings()},
              {"fleet", file("fleet")}};
-    start["settings"]["request_classes"][0].erase(
-        "give_up_us");  // the platform's, warned of as read by nobody
     for (const char* other : {"quic", "remote_write", "rebalance", "log"})
       start[other] = std::string(MARBLEHUB_SOURCE "/deploy/").append(other).append(".json");
     write("start.json", start.dump(1));
