--- a/src/main.cpp
+++ b/src/main.cpp
@@ -38,7 +38,7 @@
       : move_span(longest_deadline / 2),
         all_asked_and_moved(still_coming + move_span),
         last_moment(std::max(longest_deadline + 300'000, all_asked_and_moved)),
-        exit_by(longest_deadline + 550'000) {}
+        exit_by(longest_deadline + 500'000) {}
 
   const Time still_coming = 450'000;  // new clients come for 0.4 s
   const Time move_span;               // from then on standing clients are told to move, spread over so long
