--- a/include/lemonspread/lemonspread.h
+++ b/include/lemonspread/lemonspread.h
@@ -45,7 +45,6 @@
   DedupScope dedup_scope = DedupScope::all;
   Time window_us = 0;   // keyed: how long repeats are remembered
   bool stream = false;  // a connection: Established arrives once it stands
-  Time give_up_us = 0;  // a client waits no longer than this over all its tries; 0: not stated
 };
 
 struct Settings {
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -42,7 +42,6 @@
     RequestClass c;
     c.name = options.text(path + "name");
     c.slo_us = options.number<Time>(path + "slo_us", 0);
-    c.give_up_us = options.number_or<Time>(path + "give_up_us", 0, 0);
     c.repeat = options.choice<Repeat>(
         path + "repeat", {{"safe", Repeat::safe}, {"keyed", Repeat::keyed}, {"unsafe", Repeat::unsafe}});
     c.dedup_scope = options.choice<DedupScope>(
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <iostream>
 #include <optional>
+#include <vector>
 
 #include "core/dispatcher.h"
 #include "fleet/service/service.h"
@@ -25,26 +26,30 @@
 
 using core::Time;
 
-// A planned restart: clients still come for 0.4 s; standing ones are then told to move, spread over a while.
-constexpr Time kStillComing = 450'000, kMoveSpan = 1'500'000, kTick = 50'000;
-// By the protocol, SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it
-// is longer, and 0.7 s more. The program has answered and ended a while before.
-constexpr Time kLongestDeadline = 3'000'000, kKillAfterDeadline = 700'000, kBeforeKill = 400'000;
 constexpr Time kPlanEvery = 1'000'000;
+constexpr Time kTick = 50'000;  // between two steps of a planned restart
 // To an agent that pushes lists; sends to a worker that leaves must end within 250 ms, watched or not.
 constexpr Time kAgentAgain = 50'000;
 
-// When a balancer that retires answers what is still unanswered, counted from its SIGTERM.
-Time last_moment(const lemonspread::Settings& settings) {
-  Time longest = 0;
-  for (const lemonspread::RequestClass& c : settings.classes)
-    longest = std::max(longest, c.give_up_us > 0 ? c.give_up_us : kLongestDeadline);
-  Time at = std::min(longest, kLongestDeadline) + kKillAfterDeadline - kBeforeKill;
-  return std::max(at, kStillComing + kTick);
-}
+// Signals that have a watcher. Before it stands and after it has gone, each of them would end the process.
+const std::vector<int> kWatchedSignals = {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2};
+
+// The moments of a planned restart, counted from SIGTERM. SIGKILL comes no sooner than the longest deadline,
+// at most 3 s, and 0.7 s more.
+struct RestartPlan {
+  explicit RestartPlan(Time longest_deadline)
+      : move_span(longest_deadline / 2),
+        all_asked_and_moved(still_coming + move_span),
+        last_moment(std::max(longest_deadline + 300'000, all_asked_and_moved)),
+        exit_by(longest_deadline + 500'000) {}
 
-// Over how long standing clients are told to move. The rest of the time is left to those set up meanwhile.
-Time move_span(Time last_moment) { return std::min(kMoveSpan, (last_moment - kStillComing) * 3 / 5); }
+  const Time still_coming = 450'000;  // new clients come for 0.4 s
+  const Time move_span;               // from then on standing clients are told to move, spread over so long
+  // From then on who has sent no whole line is let go, and who is set up is told to move at once.
+  const Time all_asked_and_moved;
+  const Time last_moment;  // every call is answered, and every client that stands is told to move
+  const Time exit_by;      // until then the exit waits for the last lines to be read
+};
 
 class Program {
  public:
@@ -52,6 +57,7 @@
       : path_(std::move(path)),
         startup_(std::move(loaded.startup)),
         values_(std::move(loaded.values)),
+        plan_(startup_.longest_deadline),
         room_(startup_.sockets),
         probes_(loop_, startup_.settings.connect_timeout_us),
         registry_(loop_, startup_.registry, startup_.known),
@@ -88,7 +94,7 @@
     loop_.before_wait([this] { return step(); });
     log::threshold = log_level(startup_);
     log::info("{} listens on {}", startup_.name, startup_.listen);
-    net::SignalGate hangups(SIGHUP);
+    net::SignalGate signals(kWatchedSignals);
     if (rebalance_) plan_tick_.start(kPlanEvery);
     if (list_is_pushed()) registry_.track();
     loop_.run();
@@ -261,27 +267,39 @@
 
   void retire_step() {
     Time since = loop_.now() - retiring_since_;
-    if (since >= kStillComing && !moving_) {
-      moving_ = true;
-      listener_.close();
-      if (quic_) quic_->close();
-      dispatcher_.retire(move_span_);
+    if (since >= plan_.still_coming) take_no_more();
+    if (since >= plan_.all_asked_and_moved) {
+      listener_.turn_away_silent();
+      dispatcher_.retire(0);  // those that were set up since
     }
-    if (moving_ && since > kStillComing + move_span_) dispatcher_.retire(0);  // those that were set up since
-    bool empty = moving_ && dispatcher_.standing() == 0 && dispatcher_.unanswered() == 0;
-    if (empty && last_seen_empty_ == 0) {
+    if (since >= plan_.last_moment) dispatcher_.end_all();
+    if (empty() && last_seen_empty_ == 0) {
       last_seen_empty_ = since;
       if (fleet_) fleet_->leave();
     }
-    if (since > last_moment_) dispatcher_.answer_all();
-    if (since > last_moment_ + kTick || (empty && since - last_seen_empty_ > 2 * kTick)) return loop_.stop();
+    bool done = empty() && since - last_seen_empty_ > 2 * kTick && !loop_.awaits();
+    if (done || since >= plan_.exit_by) return loop_.stop();
     retire_tick_.start(kTick);
   }
 
+  void take_no_more() {
+    listener_.close();
+    if (moving_) return;
+    moving_ = true;
+    if (quic_) quic_->close();
+    dispatcher_.retire(plan_.move_span);
+  }
+
+  // Nobody is here any more, and nobody will come.
+  bool empty() const {
+    return listener_.closed() && listener_.not_asked_yet() == 0 && dispatcher_.standing() == 0 &&
+           dispatcher_.unanswered() == 0;
+  }
+
   const std::string path_;
   const config::Startup startup_;
   const config::Values values_;  // of the file it was started with
-  const Time last_moment_ = last_moment(startup_.settings), move_span_ = move_span(last_moment_);
+  const RestartPlan plan_;
   metrics::Registry metrics_;
   net::Loop loop_;
   net::Room room_;
@@ -316,9 +334,8 @@
     return word == "--help" ? 0 : 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  // Before its watcher stands and after it has gone, a SIGHUP would end the process: until then it waits, and
-  // one that comes while the program exits is never delivered.
-  marblehub::net::SignalGate::shut(SIGHUP);
+  // Until their watchers stand they wait, and one that comes while the program exits is never delivered.
+  marblehub::net::SignalGate::shut(marblehub::kWatchedSignals);
   try {
     const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -19,7 +19,6 @@
   for (std::size_t i = 0; i < s.classes.size(); ++i) {
     std::string path = "request_classes." + std::to_string(i) + ".";
     if (s.classes[i].slo_us < 0) return path + "slo_us";
-    if (s.classes[i].give_up_us < 0) return path + "give_up_us";
     if (s.classes[i].window_us < 0) return path + "window_us";
     if (s.classes[i].message_aim_us < 0) return "specifics.message_aim_us";
   }
--- a/src/state.h
+++ b/src/state.h
@@ -78,7 +78,14 @@
  private:
   static constexpr Time kMemory = 10'000'000;  // longer than a request waits
 
-  std::map<Set, Setups> sets_;
+  // By the names in it: news of the list make a new set of the same workers.
+  struct ByNames {
+    bool operator()(const Set& one, const Set& other) const {
+      return one && other ? *one < *other : !one && other;
+    }
+  };
+
+  std::map<Set, Setups, ByNames> sets_;
 };
 
 // Connections accepted anywhere, by group; 0: of none.
