Let recorded exchanges bring crowds, count descriptors and restart the program

Crossings of crowds need more than the steps so far: clients that answer is awaited of together, a worker that answers by itself, the number of files and sockets the program is ever seen with, a lower bound on it from the start or while it runs, a kill and start at the same port, and further programs started at once at addresses of their own. The stand-in worker now accepts all that wait in one step, and a connect that a full listen queue holds up ends after 5 s instead of hanging the test.

--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -21,9 +21,13 @@
   enum { open, fin, rst } end = open;
   bool call = false;
   bool stalled = false;  // its peer stopped reading
+  std::string unsent;    // goes out once the connection is up
   ~Conn() { ::close(fd); }
 
   void read() {
+    if (!unsent.empty() && ::send(fd, unsent.data(), unsent.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
+      unsent.clear();
+    if (!unsent.empty()) return;
     char buffer[8192];
     while (end == open && !stalled) {
       ssize_t n = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
@@ -106,6 +110,17 @@
       REQUIRE(program_->exit_code() == -1);
       return;
     }
+    if (who == "sockets") return void(sockets_ = std::stoi(verb));
+    if (who == "descriptors") return void(descriptors_ = std::stoul(verb));
+    if (who == "allow") return program_->allow_files(static_cast<rlim_t>(std::stoi(verb)));
+    if (who == "restart") return program_->restart();
+    if (who == "fellows") return start_fellows(std::stoi(verb));
+    if (who == "ready") return expect_ready(std::stoul(verb), rest);
+    if (who == "answered" || who == "unanswered")
+      return expect_crowd(std::stoi(verb), rest, who == "answered");
+    if (who == "crowd" && (verb == "fin" || verb == "rst")) return crowd_ends(verb);
+    if (who == "flood") return flood(std::stoi(verb), rest);
+    if (who == "crowd" && verb == "says") return crowd_says(rest);
     if (who == "crowd") return crowd(std::stoi(verb), rest);
     if (who == "calls") {
       pump();
@@ -139,6 +154,7 @@
     }
     if (workers_.count(who)) {
       if (verb == "mute") workers_[who].mute = true;
+      if (verb == "answers") workers_[who].answer = rest;
       if (verb == "closed") ::close(std::exchange(workers_[who].fd, -1));
       if (verb == "full") fill_queue(workers_[who]);
       if (verb == "room") make_queue_room(workers_[who]);
@@ -173,9 +189,16 @@
     bool mute = false, accepts = true;
     std::vector<std::shared_ptr<Conn>> all;
     std::vector<std::unique_ptr<Conn>> fillers;  // connections that occupy its listen queue
+    std::string answer;                          // to each call at once; empty: as the steps say
     int calls = 0;
   };
 
+  struct Fellow {
+    std::unique_ptr<Program> program;
+    std::unique_ptr<Conn> checker;
+    sockaddr_in address{};
+  };
+
   void set(const std::string& path, json value) { settings_[pointer_to(path)] = std::move(value); }
   void add_worker(const std::string& name) {
     Worker& w = workers_[name];
@@ -189,8 +212,87 @@
   void start() {
     json known = json::array();
     for (auto& [name, entry] : entries_) known.push_back(entry);
-    program_ = std::make_unique<Program>(known, settings_, port_of(registry_fd_), "/nonexistent",
-                                         "/nonexistent", files_, "/nonexistent", index_);
+    program_ =
+        std::make_unique<Program>(known, settings_, port_of(registry_fd_), "/nonexistent", "/nonexistent",
+                                  files_, "/nonexistent", index_, "/nonexistent", "127.0.0.1", sockets_ == 0);
+    if (sockets_ == 0) return;
+    program_->config()["limits"]["sockets"] = sockets_;
+    program_->restart();
+  }
+  // Each has a loopback address to itself, so that no port found free for one is taken by another.
+  void start_fellows(int count) {
+    for (int i = 0; i < count; ++i) {
+      std::string address = own_address(i, 1);
+      std::string host = address.substr(0, address.find(':'));
+      Fellow fellow;
+      fellow.program = std::make_unique<Program>(json::array(), settings_, port_of(registry_fd_),
+                                                 "/nonexistent", "/nonexistent", files_, "/nonexistent",
+                                                 index_, "/nonexistent", host, false);
+      inet_pton(AF_INET, host.c_str(), &fellow.address.sin_addr);
+      fellow.address.sin_family = AF_INET;
+      fellow.address.sin_port = htons(static_cast<std::uint16_t>(fellow.program->port));
+      fellows_.push_back(std::move(fellow));
+    }
+  }
+  // As a front does it: connects until it is let in, and asks once.
+  static bool says_pong(Fellow& fellow) {
+    if (!fellow.checker) {
+      auto checker = std::make_unique<Conn>();
+      checker->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      if (::connect(checker->fd, reinterpret_cast<sockaddr*>(&fellow.address), sizeof fellow.address) != 0)
+        return false;
+      checker->send("PING\r\n");
+      fellow.checker = std::move(checker);
+    }
+    fellow.checker->read();
+    return fellow.checker->in == "PONG\r\n";
+  }
+  void expect_ready(std::size_t count, const std::string& limit) {
+    until(
+        [&] {
+          std::size_t ready = 0;
+          for (Fellow& fellow : fellows_) ready += says_pong(fellow);
+          return ready == count;
+        },
+        limit.empty() ? kPatience : std::stoi(limit.substr(1)));
+  }
+  void expect_crowd(int count, std::string text, bool answered) {
+    int ms = kPatience;
+    if (std::size_t at = text.rfind('['); at != std::string::npos) {
+      ms = std::stoi(text.substr(at + 1));
+      text.resize(at > 0 ? at - 1 : 0);
+    }
+    int seen = 0;
+    std::map<std::string, int> all;  // what became of them, for the one who reads a failure
+    auto counted = [&] {
+      seen = 0;
+      all.clear();
+      for (int i = 1; i <= crowd_; ++i) {
+        const Conn& c = *conns_["crowd" + std::to_string(i)];
+        std::size_t end = c.in.find("\r\n");
+        std::string line = c.in.substr(0, end);
+        bool whole = end != std::string::npos;
+        seen += answered ? whole && c.end != Conn::rst && (text == "*" || matches(text, line))
+                         : !whole && c.end != Conn::open;
+        all["'" + line +
+            (c.end == Conn::open  ? "', open"
+             : c.end == Conn::fin ? "', ended"
+                                  : "', reset")] += 1;
+      }
+      return seen == count;
+    };
+    for (std::int64_t end = now_ms() + ms; now_ms() < end && !counted(); usleep(1000)) pump();
+    if (counted()) return;
+    std::string what;
+    for (auto& [end, times] : all) what += std::to_string(times) + " " + end + "; ";
+    FAIL("of " << crowd_ << " clients it was so for " << seen << ": " << what);
+  }
+  void crowd_ends(const std::string& how) {
+    for (int i = 1; i <= crowd_; ++i) {
+      Conn& c = *conns_["crowd" + std::to_string(i)];
+      if (how == "rst") c.reset();
+      if (how == "fin") ::shutdown(c.fd, SHUT_WR);
+    }
   }
   void tell(const std::string& name, const std::string& status) {
     if (name == "503") {
@@ -287,12 +389,32 @@
     ioctl(fd, TIOCOUTQ, &left);
     return left;
   }
+  // '#' in the text of a crowd is the number of the client.
+  static std::string said_by(int client, std::string text) {
+    for (std::size_t at; (at = text.find('#')) != std::string::npos;)
+      text.replace(at, 1, std::to_string(client));
+    return with_line_ends(text);
+  }
   void crowd(int count, const std::string& text) {
     for (int i = 0; i < count; ++i) {
       Conn& c = conn("crowd" + std::to_string(++crowd_));
-      if (!text.empty()) c.send(with_line_ends(text));
+      if (!text.empty()) c.send(said_by(crowd_, text));
+    }
+  }
+  // Not one waits for its connect to come up, which takes a second or more when the listen queue is full.
+  void flood(int count, const std::string& text) {
+    sockaddr_in to = loopback(program_->port);
+    for (int i = 0; i < count; ++i) {
+      auto& c = conns_["crowd" + std::to_string(++crowd_)];
+      c = std::make_shared<Conn>();
+      c->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      ::connect(c->fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
+      c->unsent = said_by(crowd_, text);
     }
   }
+  void crowd_says(const std::string& text) {
+    for (int i = 1; i <= crowd_; ++i) conns_["crowd" + std::to_string(i)]->send(said_by(i, text) + "\r\n");
+  }
   // One call out at a time is answered when there is news; a first call at once.
   void serve_registry() {
     int fd = registry_fd_ < 0 ? -1 : ::accept4(registry_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -329,8 +451,9 @@
   void pump() {
     serve_registry();
     for (auto& [name, w] : workers_) {
-      int fd = w.fd >= 0 && w.accepts ? ::accept4(w.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) : -1;
-      if (fd >= 0) {
+      while (w.fd >= 0 && w.accepts) {
+        int fd = ::accept4(w.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) break;
         w.all.push_back(std::make_shared<Conn>());
         w.all.back()->fd = fd;
       }
@@ -339,6 +462,7 @@
         if (!c->call && c->in.starts_with("OPEN")) {
           c->call = true;
           conns_[name + "." + std::to_string(++w.calls)] = c;
+          if (!w.answer.empty()) c->send(with_line_ends(w.answer) + "\r\n");
         }
         while (!c->call && !w.mute && c->in.starts_with("STATS\r\n")) {
           c->line();
@@ -347,6 +471,10 @@
       }
     }
     for (auto& [name, c] : conns_) c->read();
+    if (descriptors_ > 0) {
+      INFO("limits.sockets " << descriptors_);
+      REQUIRE(program_->descriptors() <= descriptors_);
+    }
   }
   void pump_for(int ms) {
     for (std::int64_t end = now_ms() + ms; now_ms() < end; usleep(1000)) pump();
@@ -388,6 +516,9 @@
   std::map<std::string, std::shared_ptr<Conn>> conns_;
   int registry_fd_, registry_port_ = 0, index_ = 1, crowd_ = 0;
   bool fail_next_ = false, whole_ = false, registry_held_ = false;
+  int sockets_ = 0;              // limits.sockets; 0: as usual
+  std::size_t descriptors_ = 0;  // that the program may be seen with; 0: any
+  std::vector<Fellow> fellows_;
   rlim_t files_ = 1024;
   std::unique_ptr<Conn> registry_;
   std::unique_ptr<Program> program_;
--- a/tests/support/exchange_player.h
+++ b/tests/support/exchange_player.h
@@ -42,6 +42,18 @@
 //   freeze | thaw       the program's process is stopped; goes on
 //   running             the program has not exited
 //   counter NAME N      printed on USR1 or at exit; atleast NAME N: N or more
+//   sockets N           limits.sockets of the configuration, before the start
+//   descriptors N       from now on the program is never seen with more than N files and sockets open
+//   allow N             the running program may open no file or socket beyond N: its accepts fail with EMFILE
+//   W answers TEXT      each call that reaches W from now on is answered with TEXT at once
+//   flood N TEXT        as crowd, without waiting for a connection to be let in: some stay out of a full listen queue
+//   crowd says TEXT     each client of the crowds sends a line; # in the text of a crowd is its client's number
+//   answered N TEXT [MS]  N clients of crowds have got TEXT (any: *) as their first line and no reset, within MS ms
+//   unanswered N [MS]   N clients of crowds have been ended with no line
+//   crowd fin | crowd rst  each client of the crowds ends its side
+//   restart             the program is killed (SIGKILL) and started again at once, at the same port
+//   fellows N           N further programs are started at once, at addresses of their own
+//   ready N [MS]        N of the fellows have answered PING with PONG, within MS milliseconds
 //   exit N [MS]         the program must exit so, within MS milliseconds
 // clang-format on
 #pragma once
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -67,6 +67,8 @@
 inline int connected(int port) {
   int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in to = loopback(port);
+  timeval patience{5, 0};  // a listen queue that is full lets nobody in
+  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
   if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
     throw std::runtime_error("no connection");
   return fd;
@@ -111,13 +113,14 @@
   Program(json known, json settings, int registry_port, const std::string& quic_file = "/nonexistent",
           const std::string& remote_write_file = "/nonexistent", rlim_t files = 1024,
           const std::string& rebalance_file = "/nonexistent", std::int64_t version = 1,
-          const std::string& fleet_file = "/nonexistent")
-      : port(free_port(SOCK_STREAM)) {
+          const std::string& fleet_file = "/nonexistent", const std::string& host = "127.0.0.1",
+          bool wait = true)
+      : port(free_port(SOCK_STREAM)), files_(files) {
     char folder[] = "/tmp/marblehub-test-XXXXXX";
     if (!mkdtemp(folder)) throw std::runtime_error("no temporary folder");
     folder_ = folder;
     config_ = {{"name", "n0"},
-               {"listen", text_of(port)},
+               {"listen", host + ":" + std::to_string(port)},
                {"discovery", text_of(registry_port)},
                {"seed", "8c1f30d27a5be964"},
                {"limits", {{"sockets", 1024}}},
@@ -127,11 +130,16 @@
                {"remote_write", remote_write_file},
                {"rebalance", rebalance_file},
                {"fleet", fleet_file}};
+    launch();
+    if (wait) wait_until_it_listens();
+  }
+  // Starts the process with the configuration as it is now.
+  void launch() {
     write(config_.dump());
     pid_ = fork();
     if (pid_ == 0) {
       setenv("BALANCER_CONFIG", (folder_ + "/config.json").c_str(), 1);
-      rlimit limit{files, files};
+      rlimit limit{files_, files_};
       setrlimit(RLIMIT_NOFILE, &limit);
       close_range(3, ~0U, 0);            // so that it begins with the same descriptors wherever the test runs
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive a test that crashes
@@ -139,6 +147,8 @@
       execl(program_path().c_str(), "marblehub", nullptr);
       _exit(127);
     }
+  }
+  void wait_until_it_listens() {
     for (int i = 0; i < 400 && log().find("listens on") == std::string::npos; ++i) usleep(10000);
   }
   ~Program() {
@@ -155,6 +165,19 @@
     std::ofstream(folder_ + "/next.json") << text;
     std::rename((folder_ + "/next.json").c_str(), (folder_ + "/config.json").c_str());
   }
+  // The process dies as by SIGKILL and is started again at once, at the same port.
+  void restart() {
+    ::kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    std::remove((folder_ + "/log").c_str());
+    launch();
+    wait_until_it_listens();
+  }
+  // The running process may open no more files than this from now on; what it has open stays.
+  void allow_files(rlim_t most) {
+    rlimit limit{most, files_};
+    prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
+  }
   json& config() { return config_; }
   std::string config_file() const { return folder_ + "/config.json"; }
   void remove_config() { std::remove((folder_ + "/config.json").c_str()); }
@@ -209,6 +232,7 @@
  private:
   std::string folder_;
   json config_;
+  const rlim_t files_;
   pid_t pid_ = 0;
 };
 
