Read a client before it gives way, and keep descriptors for answers and the registry

Seen, each forced by a test in tests/crossings/crowds that the program failed before: - A client whose whole line lay unread was closed to make room for another (Listener::make_room took the oldest of asking_ unread). With 140 clients asking in one turn 68 were reset: the loop takes 64 events from the system at first, so the priority of the listener does not hold them all back. - A line complete in the turn in which the client's 2 s were over was dropped unanswered: after a stall the timer comes before the socket (ClientLink::never_asked). - Probes, retries and the registry connected whatever limits.sockets said (Stream::connect looked at no bound): 26 of 24 descriptors with 20 workers probed. Connections of probes that only rest, for 5 s each, and those that linger after an answer left calls without a descriptor. - While calls held all descriptors nothing was accepted but what a lingering close freed: calls and the front's PING lay unanswered in the listen queue. - accept failing with EMFILE paused while idle clients held the descriptors.

Ruled out: the order of the loop's watchers alone (the listener comes last, but not last of more than 64 events), and a larger spare, which would only move the bound.

Now only a client of whom nothing lies unread gives way, one that has sent nothing before one in the middle of its line, and it lingers after its BUSY while nothing else needs the descriptor. never_asked reads first. Every connect is bound by Fd::left; it takes back, the longest first, a connection that lingers or a probe's that rests. Of the four descriptors kept for files one is for a client that is only told BUSY or PONG and one for the registry, so calls may use as many as before.

Pausing instead of spinning is asserted in lowered_below_use.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -21,6 +21,8 @@
 constexpr Time kPatience = 2'000'000;
 constexpr std::int64_t kLongestWait = 3'600'000;  // milliseconds; a client says so with what is handed over
 constexpr int kPings = 8;                         // on one connection; a checker needs one
+// Clients that are looked at for one that gives way: as many as the loop takes from the system in one turn.
+constexpr std::size_t kLookedAt = 64;
 
 }  // namespace
 
@@ -62,15 +64,19 @@
 }
 
 bool Listener::accept_one() {
-  if (room_.none() && !asking_.empty() && someone_waits()) asking_.front()->make_way();
-  if (room_.none()) {
+  if (!room_.may_accept() && someone_waits() && !Stream::reclaim() && one_gives_way(0)) Stream::reclaim();
+  if (!room_.may_accept()) {
     pause();
     return false;
   }
   Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (!fd) {
-    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) pause();
-    return errno == EINTR || errno == ECONNABORTED;
+    if (errno == EINTR || errno == ECONNABORTED) return true;
+    bool short_of = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+    if (!short_of || !someone_waits()) return false;  // no descriptor is told before nobody waits
+    if (Stream::reclaim() || (one_gives_way(0) && Stream::reclaim())) return true;
+    pause();
+    return false;
   }
   accepted_.add();
   links_.push_back(std::make_unique<ClientLink>(*this, loop_));
@@ -89,9 +95,31 @@
 
 // Whoever has asked goes before those who only hold a descriptor, and of these the newest: a client that has
 // something to ask does so at once. On accepting, the newest of all stays: its first line may come a moment
-// after its connection, and nobody has come yet for whom it would have to give way.
+// after its connection, and nobody has come yet for whom it would have to give way. Those that give way
+// linger after their answer, as long as nothing else needs the descriptor.
 void Listener::make_room(std::size_t staying) {
-  while (room_.scarce() && asking_.size() > staying) asking_.front()->make_way();
+  while (room_.scarce() && one_gives_way(staying)) {
+  }
+  while (room_.none() && Stream::reclaim()) {
+  }
+}
+
+// The oldest that has sent nothing, and only then the oldest in the middle of its line. Not one of whom bytes
+// lie unread: it may have asked already, and a close over unread bytes resets the connection, its answer with
+// it. It is read in this turn.
+bool Listener::one_gives_way(std::size_t staying) {
+  ClientLink* chosen = nullptr;
+  std::size_t candidates = std::min(kLookedAt, asking_.size() - std::min(staying, asking_.size()));
+  for (auto at = asking_.begin(); candidates > 0; ++at, --candidates) {
+    ClientLink& link = **at;
+    if (link.stream_->has_unread()) continue;
+    if (!chosen) chosen = &link;
+    if (!link.in_.empty()) continue;
+    chosen = &link;
+    break;
+  }
+  if (chosen) chosen->make_way();
+  return chosen != nullptr;
 }
 
 // The socket stays readable while no descriptor is free: without a pause the loop would spin.
@@ -202,14 +230,17 @@
   say_and_close("ERR\r\n", Stream::turn_away);
 }
 
+// After a stall of the process the timer comes before what lies in the socket: a whole line counts.
 void ClientLink::never_asked() {
+  stream_->read_now();
+  if (asked_ || !stream_) return;
   listener_.silent_.add();
   end(Stream::drop);
 }
 
 void ClientLink::make_way() {
   listener_.gave_way_.add();
-  say_and_close("BUSY\r\n", Stream::drop);
+  say_and_close("BUSY\r\n", Stream::turn_away);
 }
 
 void ClientLink::stop_asking() {
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -30,6 +30,7 @@
   bool accept_one();
   bool someone_waits() const;  // to be accepted
   void make_room(std::size_t staying);
+  bool one_gives_way(std::size_t staying);
   void pause();
   void remove(ClientLink& link);
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -3,6 +3,7 @@
 
 #include <ev.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,10 +25,15 @@
   int get() const { return fd_; }
   explicit operator bool() const { return fd_ >= 0; }
   static std::size_t in_use() { return in_use_; }  // by all that there are
+  // How many there may be at once; `reserve` are kept beside them for one that nothing else may go without.
+  static void allow(std::size_t most) { most_ = most; }
+  static std::size_t left(std::size_t reserve = 0) {
+    return in_use_ < most_ + reserve ? most_ + reserve - in_use_ : 0;
+  }
 
  private:
   int fd_;
-  static inline std::size_t in_use_ = 0;
+  static inline std::size_t in_use_ = 0, most_ = SIZE_MAX / 2;  // until a limit is known
 };
 
 // The loop is also the clock: the system's time at start, carried on by the steady clock.
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "log/log.h"
+#include "net/room.h"
 
 namespace marblehub::net {
 namespace {
@@ -83,7 +84,7 @@
   auto to = parse_address(address_);
   if (!to) return fail("no address");
   stream_ = std::make_unique<Stream>(loop_, *this);
-  stream_->connect(*to);
+  stream_->connect(*to, kRegistryReserve);
 }
 
 void RegistryWatch::connected() {
--- a/src/net/room.cpp
+++ b/src/net/room.cpp
@@ -6,12 +6,12 @@
 #include <filesystem>
 #include <iterator>
 
-#include "net/loop.h"
+#include "net/stream.h"
 
 namespace marblehub::net {
 namespace {
 
-constexpr std::size_t kSpare = 4;  // files that are opened for a moment: a configuration, a log
+constexpr std::size_t kFiles = 2;  // opened for a moment: a configuration, a log
 
 // What is open beside the sockets that Fd counts.
 std::size_t open_besides() {
@@ -21,24 +21,28 @@
   return open - std::min(open, Fd::in_use());
 }
 
-}  // namespace
-
-Room::Room(std::int64_t most) : own_(open_besides() + kSpare) { limit(most); }
-
-void Room::limit(std::int64_t most) {
-  limit_ = static_cast<std::size_t>(std::max<std::int64_t>(most, 0));
+// So many of `wanted` as the system allows, which is asked for more where it allows fewer for now.
+std::size_t allowed_by_system(std::size_t wanted) {
   rlimit system{};
-  if (getrlimit(RLIMIT_NOFILE, &system) != 0 || system.rlim_cur == RLIM_INFINITY) return;
-  if (system.rlim_cur < limit_ && system.rlim_cur < system.rlim_max) {
-    system.rlim_cur = std::min<rlim_t>(limit_, system.rlim_max);
+  if (getrlimit(RLIMIT_NOFILE, &system) != 0 || system.rlim_cur == RLIM_INFINITY) return wanted;
+  if (system.rlim_cur < wanted && system.rlim_cur < system.rlim_max) {
+    system.rlim_cur = std::min<rlim_t>(wanted, system.rlim_max);
     setrlimit(RLIMIT_NOFILE, &system);
   }
-  limit_ = std::min<std::size_t>(limit_, system.rlim_cur);
+  return std::min<std::size_t>(wanted, system.rlim_cur);
 }
 
-std::size_t Room::left() const {
-  std::size_t used = own_ + Fd::in_use();
-  return used < limit_ ? limit_ - used : 0;
+}  // namespace
+
+Room::Room(std::int64_t most) : own_(open_besides() + kFiles + kRegistryReserve) { limit(most); }
+
+void Room::limit(std::int64_t most) {
+  limit_ = allowed_by_system(static_cast<std::size_t>(std::max<std::int64_t>(most, 0)));
+  Fd::allow(limit_ - std::min(limit_, own_));
 }
 
+bool Room::scarce() const { return Fd::left() + Stream::lingering() <= limit_ / 8; }
+
+bool Room::for_one() { return Fd::left() > 0 || Stream::reclaim(); }
+
 }  // namespace marblehub::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,9 +1,11 @@
 #include "net/stream.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace marblehub::net {
@@ -30,8 +32,9 @@
   watch();
 }
 
-void Stream::connect(const sockaddr_in& to) {
-  fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+void Stream::connect(const sockaddr_in& to, std::size_t reserve) {
+  if (Fd::left(reserve) > 0 || reclaim())
+    fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   state_ = State::connecting;
   if (!fd_) {
     broken_ = unsent_ = true;
@@ -49,6 +52,11 @@
   watch();
 }
 
+bool Stream::has_unread() const {
+  pollfd input{fd_.get(), POLLIN, 0};
+  return ::poll(&input, 1, 0) > 0;
+}
+
 void Stream::write(std::string_view bytes) {
   if (broken_ || state_ == State::closed || shut_) return;
   out_.append(bytes);
@@ -138,6 +146,46 @@
   if (discarded_ > kDiscarded) release();
 }
 
+// What has come for nobody is read, so that a close does not reset the connection.
+void Stream::discard() {
+  char buffer[kReadAtOnce];
+  while (discarded_ <= kDiscarded) {
+    ssize_t n = ::recv(fd_.get(), buffer, sizeof buffer, 0);
+    if (n <= 0) return;
+    discarded_ += static_cast<std::size_t>(n);
+  }
+}
+
+void Stream::spare(bool on) {
+  if (spare_place_) {
+    spare_.erase(*std::exchange(spare_place_, std::nullopt));
+    all_lingering_ -= lingering_;
+  }
+  if (!on) return;
+  spare_place_ = spare_.insert(spare_.end(), this);
+  all_lingering_ += lingering_;
+}
+
+bool Stream::cut_linger() {
+  auto done = std::find_if(spare_.begin(), spare_.end(),
+                           [](const Stream* s) { return s->lingering_ && s->out_.empty(); });
+  if (done == spare_.end()) return false;
+  Stream& stream = **done;
+  stream.discard();
+  stream.release();
+  return true;
+}
+
+bool Stream::reclaim() {
+  if (cut_linger()) return true;
+  auto resting = std::find_if(spare_.begin(), spare_.end(), [](const Stream* s) { return !s->lingering_; });
+  if (resting == spare_.end()) return false;
+  Stream& stream = **resting;
+  stream.spare(false);
+  stream.fail(Ending::broken);
+  return true;
+}
+
 void Stream::settle() {
   if (shut_ || !out_.empty()) return;
   shut_ = true;
@@ -151,6 +199,7 @@
 void Stream::drop(std::unique_ptr<Stream> stream) {
   if (!stream) return;
   stream->handler_ = nullptr;
+  stream->spare(false);
   stream->state_ = State::closed;
   stream->io_.stop();
   stream->fd_.reset();
@@ -163,11 +212,13 @@
   Stream& s = *stream;
   s.handler_ = nullptr;
   if (s.state_ != State::open || s.broken_) return drop(std::move(stream));
+  s.spare(false);
   s.lingering_ = true;
   s.loop_.keep(std::shared_ptr<Stream>(std::move(stream)));
   s.reading_ = true;
   s.watch();
   s.settle();
+  s.spare(true);
   s.linger_.start(span);
 }
 
@@ -187,6 +238,7 @@
 
 void Stream::release() {
   state_ = State::closed;
+  spare(false);
   io_.stop();
   linger_.stop();
   fd_.reset();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include <list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,18 +31,30 @@
   };
 
   Stream(Loop& loop, Handler& handler);
-  ~Stream() = default;
+  ~Stream() { spare(false); }
 
   void adopt(Fd fd);
   void read_now() {
     on_io(EV_READ);
   }  // what has come already, without waiting for the loop; only after adopt
-  void connect(const sockaddr_in& to);  // a failure is told as an ending
+  // A failure is told as an ending. Where no descriptor may be opened, it takes one of what is spare;
+  // `reserve` are kept for it beside those that all share.
+  void connect(const sockaddr_in& to, std::size_t reserve = 0);
+  bool has_unread() const;  // bytes that have come, or the peer's end
   void write(std::string_view bytes);
   void read_on(bool on);
   std::size_t backlog() const { return out_.size() - sent_; }
   bool unsent() const { return unsent_; }  // a connect that failed here, for want of a descriptor or the like
 
+  // A connection that is kept only to save a later connect. Its handler is told of an ending if it is
+  // reclaimed.
+  void spare(bool on);
+  // How many have been ended here and are open only until their peer has read the last of it.
+  static std::size_t lingering() { return all_lingering_; }
+  // Frees a descriptor for what is more urgent: of the connections that linger and have sent all the one that
+  // has done so for longest is closed, or where there is none one that is spare. False: there is neither.
+  static bool reclaim();
+
   // Ends the stream for its handler. In order: what is left goes out, then FIN, and the peer has a moment to
   // read it; a close with unread input would make the kernel send a reset that overtakes the last line.
   static void finish(std::unique_ptr<Stream> stream);
@@ -60,6 +73,8 @@
   void fail(Ending ending);
   void watch();
   void settle();
+  void discard();
+  static bool cut_linger();
   static void linger(std::unique_ptr<Stream> stream, Time span);
   void release();
 
@@ -74,6 +89,9 @@
   std::size_t sent_ = 0;
   std::size_t discarded_ = 0;  // read from the peer since its handler gave it up
   bool lingering_ = false;     // given up by its handler; the loop keeps it until it is done
+  static inline std::size_t all_lingering_ = 0;
+  static inline std::list<Stream*> spare_;  // the longest so first
+  std::optional<std::list<Stream*>::iterator> spare_place_;
 };
 
 }  // namespace marblehub::net
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -240,6 +240,7 @@
   void ask() {
     connected_ = stream_ != nullptr;
     if (stream_) {
+      stream_->spare(false);
       timeout_.start(kProbeTimeout);
       stream_->write("STATS\r\n");
       return;
@@ -260,7 +261,10 @@
   }
   void end(Outcome outcome, const core::LoadReport& report) {
     timeout_.stop();
-    if (stream_) idle_.start(kProbeIdle);
+    if (stream_) {
+      idle_.start(kProbeIdle);
+      stream_->spare(true);
+    }
     if (!std::exchange(waiting_, false)) return;
     probes_.result_(worker_, probes_.loop_.now() - sent_at_, outcome, report);
   }
--- a/src/quic/tables.cpp
+++ b/src/quic/tables.cpp
@@ -51,7 +51,7 @@
   if (full || (needs_descriptor && room_.scarce())) {  // the one unused for longest makes room
     bool made = oldest_ != nullptr;
     if (made) drop_path(*oldest_);
-    if (!made && (full || (needs_descriptor && room_.none()))) {
+    if (!made && (full || (needs_descriptor && !room_.for_one()))) {
       full_.add();
       return nullptr;
     }
