--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "log/log.h"
+#include "net/room.h"
 
 namespace marblehub::net {
 namespace {
@@ -91,7 +92,7 @@
   if (!to) return fail("no address");
   stream_ = std::make_unique<Stream>(loop_, *this);
   stream_->read_first();  // what it tells counts since it was written: no call is placed before it is read
-  stream_->connect(*to);
+  stream_->connect(*to, kRegistryReserve);
 }
 
 void RegistryWatch::connected() {
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -68,6 +68,8 @@
 inline int connected(int port) {
   int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in to = loopback(port);
+  timeval patience{5, 0};  // a listen queue that is full lets nobody in
+  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
   if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
     throw std::runtime_error("no connection");
   return fd;
@@ -116,13 +118,14 @@
   Program(json known, json settings, int registry_port, const std::string& quic_file = "/nonexistent",
           const std::string& remote_write_file = "/nonexistent", rlim_t files = 1024,
           const std::string& rebalance_file = "/nonexistent", std::int64_t version = 1,
-          const std::string& fleet_file = "/nonexistent", Launch launch = Launch::awaited)
+          const std::string& fleet_file = "/nonexistent", Launch launch = Launch::awaited,
+          const std::string& host = "127.0.0.1")
       : port(free_port(SOCK_STREAM)), files_(files) {
     char folder[] = "/tmp/marblehub-test-XXXXXX";
     if (!mkdtemp(folder)) throw std::runtime_error("no temporary folder");
     folder_ = folder;
     config_ = {{"name", "n0"},
-               {"listen", text_of(port)},
+               {"listen", host + ":" + std::to_string(port)},
                {"discovery", text_of(registry_port)},
                {"seed", "8c1f30d27a5be964"},
                {"limits", {{"sockets", 1024}}},
@@ -153,6 +156,7 @@
     held_config_.close();
   }
   void kill_and_reap() {
+    if (pid_ <= 0) return;
     ::kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
     pid_ = 0;
@@ -187,6 +191,17 @@
     std::ofstream(folder_ + "/next.json") << text;
     std::rename((folder_ + "/next.json").c_str(), (folder_ + "/config.json").c_str());
   }
+  // The process dies as by SIGKILL and is started again at once, at the same port.
+  void restart() {
+    kill_and_reap();
+    write(config_.dump());
+    relaunch();
+  }
+  // The running process may open no more files than this from now on; what it has open stays.
+  void allow_files(rlim_t most) {
+    rlimit limit{most, files_};
+    prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr);
+  }
   json& config() { return config_; }
   std::string config_file() const { return folder_ + "/config.json"; }
   void remove_config() { std::remove((folder_ + "/config.json").c_str()); }
