--- a/tests/crossings/streams_test.cpp
+++ b/tests/crossings/streams_test.cpp
@@ -1,6 +1,7 @@
 // A stream at the moments that loopback sockets and a stopped process can't force: a write that fails while
 // the peer's last bytes lie unread, and a backlog that a later write takes along. Both ends are held by the
 // test.
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,6 +11,7 @@
 #include <utility>
 
 #include "net/stream.h"
+#include "support/program.h"
 
 namespace marblehub::test {
 namespace {
@@ -74,6 +76,13 @@
   int peer = -1;
 };
 
+bool small_writes_at_once(int fd) {
+  int on = 0;
+  socklen_t size = sizeof on;
+  REQUIRE(getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, &size) == 0);
+  return on != 0;
+}
+
 }  // namespace
 
 TEST_CASE("a write that fails lets the peer's last lines through before the end", "[streams]") {
@@ -166,4 +175,28 @@
   REQUIRE(::recv(pair.peer, &byte, 1, MSG_DONTWAIT) == 0);
 }
 
+// A close over unread bytes takes with it what the system still holds back, so that it must hold nothing
+// back.
+TEST_CASE("the system holds back no small write of a stream, accepted or connected", "[streams]") {
+  net::Loop loop;
+  Heard heard;
+  const int listening = bound(SOCK_STREAM);
+  REQUIRE(::listen(listening, 1) == 0);
+  const int next = ::dup(listening);  // the number that the stream's own socket gets
+  ::close(next);
+  auto connecting = std::make_unique<Stream>(loop, heard);
+  connecting->connect(loopback(port_of(listening)));
+  REQUIRE(small_writes_at_once(next));
+
+  const int accepted = ::accept(listening, nullptr, nullptr);
+  REQUIRE_FALSE(small_writes_at_once(accepted));
+  auto adopted = std::make_unique<Stream>(loop, heard);
+  adopted->adopt(net::Fd(accepted));
+  REQUIRE(small_writes_at_once(accepted));
+
+  Stream::drop(std::move(connecting));
+  Stream::drop(std::move(adopted));
+  ::close(listening);
+}
+
 }  // namespace marblehub::test
--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kPatience = 4000;
 constexpr int kFloodPatience = 10000;
+constexpr int kBetweenBytes = 2000;  // microseconds, in which the program reads what its system has taken
 constexpr std::size_t kFloodAtOnce = 1 << 20;  // bytes of a flood handed to the system in one send
 
 struct Conn {
@@ -318,6 +319,7 @@
     for (char byte : text) {
       to.send(std::string(1, byte));
       until([&] { return bytes_untaken(to.fd) == 0; }, kPatience);
+      usleep(kBetweenBytes);
     }
   }
   // What the program has not acknowledged; the kernel acknowledges what it has queued for the program, so a
