Stop watching a stream whose write has failed, so that a hold does not spin

The descriptor stayed readable and its watcher active: on hold the loop called it in every turn, which also hid the undoing of read_on's and read_some's own feed. With the watcher stopped the cases 'a stream on hold whose write failed' (without read_on's feed) and three cases (without read_some's) fail; with both, all 7 pass.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -62,6 +62,7 @@
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
     if (n < 0) {  // the writer is inside its own call: the loop tells it
       broken_ = true;
+      io_.stop();  // the socket stays readable: on hold, the loop would call again and again
       io_.feed(EV_READ);
       return;
     }
