Let the player remember a reset that its flood has met

full_worker_leaves failed once in 30 runs, 6 copies side by side: the player's own send took ECONNRESET, its read then saw 0 and called it a FIN.

--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -23,8 +23,9 @@
   std::string in;
   enum { open, fin, rst } end = open;
   bool call = false;
-  bool stalled = false;  // its peer stopped reading
-  std::string pending;   // of a flood: sent as the program takes it
+  bool stalled = false;     // its peer stopped reading
+  std::string pending;      // of a flood: sent as the program takes it
+  bool reset_seen = false;  // by a send of the flood: the next read ends with 0 then
   ~Conn() { ::close(fd); }
 
   void read() {
@@ -32,7 +33,7 @@
     while (end == open && !stalled) {
       ssize_t n = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
       if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-      if (n <= 0) end = n == 0 ? fin : rst;
+      if (n <= 0) end = n == 0 && !reset_seen ? fin : rst;
       if (n > 0) in.append(buffer, static_cast<std::size_t>(n));
     }
   }
@@ -47,6 +48,7 @@
     while (end == open && !pending.empty()) {
       ssize_t n =
           ::send(fd, pending.data(), std::min(pending.size(), kFloodAtOnce), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n < 0 && errno == ECONNRESET) reset_seen = true;
       if (n <= 0) return;
       pending.erase(0, static_cast<std::size_t>(n));
     }
