--- a/tests/support/exchange_player.cpp
+++ b/tests/support/exchange_player.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kPatience = 4000;
 constexpr int kFloodPatience = 10000;
+constexpr int kBetweenBytes = 2000;  // microseconds, in which the program reads what its system has taken
 constexpr std::size_t kFloodAtOnce = 1 << 20;  // bytes of a flood handed to the system in one send
 
 struct Conn {
@@ -22,9 +23,10 @@
   std::string in;
   enum { open, fin, rst } end = open;
   bool call = false;
-  bool stalled = false;  // its peer stopped reading
-  std::string pending;   // of a flood: sent as the program takes it
-  std::string unsent;    // goes out once the connection is up
+  bool stalled = false;     // its peer stopped reading
+  std::string pending;      // of a flood: sent as the program takes it
+  std::string unsent;       // goes out once the connection is up
+  bool reset_seen = false;  // by a send of the flood: the next read ends with 0 then
   ~Conn() { ::close(fd); }
 
   void read() {
@@ -35,7 +37,7 @@
     while (end == open && !stalled) {
       ssize_t n = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
       if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-      if (n <= 0) end = n == 0 ? fin : rst;
+      if (n <= 0) end = n == 0 && !reset_seen ? fin : rst;
       if (n > 0) in.append(buffer, static_cast<std::size_t>(n));
     }
   }
@@ -50,6 +52,7 @@
     while (end == open && !pending.empty()) {
       ssize_t n =
           ::send(fd, pending.data(), std::min(pending.size(), kFloodAtOnce), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n < 0 && errno == ECONNRESET) reset_seen = true;
       if (n <= 0) return;
       pending.erase(0, static_cast<std::size_t>(n));
     }
@@ -528,6 +531,7 @@
     for (char byte : text) {
       to.send(std::string(1, byte));
       until([&] { return bytes_untaken(to.fd) == 0; }, kPatience);
+      usleep(kBetweenBytes);
     }
   }
   void connect_narrow(const std::string& who) {
