Open cold backends by size, and by far less in a crowd of a balancer's own calls

On throng+brink a worker of size 1.5 was sent 6.0 times what it could do. Seen in the logs at level debug: four workers are lost, their clients come back at once; all nine calls that pushed it over were of one group, first attempts, from eight balancers told of the start over 4 s before, and each had waited 0.25 to 0.78 s. Ruled out: balancers not told, retries, all down, restart_unsure, and old reports as the only cause (six of the nine calls had a report of 0.3 s or less).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,8 +58,9 @@
 
 // Cold backends.
 constexpr Time kListLag = 5 * kSecond;      // by then the list has told of a restart, if there was one
-constexpr Time kAskedMemory = 2 * kSecond;  // a crowd: more calls a second over so long than are held
+constexpr Time kAskedMemory = 2 * kSecond;  // a crowd: more calls over so long than come in the mean
 constexpr double kColdPart = 1.7, kColdPower = 1.5;  // of its warmth: all may come in its first seconds
+constexpr double kCrowdPower = 3, kCrowdMost = 20;   // divide its part of the sweeps: one call each at most
 constexpr Time kFreshCold = 300 * kMillisecond;      // its report may be so old: others send there too
 
 // Moves and admission.
@@ -395,17 +396,20 @@
   bool open(const Backend& b) const { return warmth(b) >= 1 || b.drawn; }
   bool has_room(const Backend& b) const { return !b.down && (warmth(b) < 1 || b.level < kEased); }
 
-  // A relay uses a cold backend in some of its sweeps only, drawn anew: all together send it what its warmth
-  // bears of the ordinary flow, however big a crowd comes back. A call sent there shuts it until the next.
+  // A relay uses a cold backend in some of its sweeps only, drawn anew. A call that waits takes whichever
+  // opens first, so small ones open less often, and in a crowd, with a call for every sweep, all do by far.
   void open_cold_backends() {
-    double scales = 1e-9, roomy = 0, load = 1;
+    double scales = 1e-9, roomy = 0, count = 0;
     for (const Backend& b : backends)
-      if (b.listed && b.sampled) scales += b.scale, load += b.load, roomy += has_room(b) ? b.scale : 0;
-    double crowd = std::max(1.0, asked.at(now, kAskedMemory) / (kAskedMemory / kSecond) / load);
-    double part = kColdPart * roomy / scales / crowd / (settings.groups ? kGroupMost : 1);  // all of a group
+      if (b.listed && b.sampled) count += 1, scales += b.scale, roomy += has_room(b) ? b.scale : 0;
+    double ordinary = std::max(1.0, requests_seen / (seconds_served() + 2) * kAskedMemory / kSecond);
+    double crowd = std::max(1.0, asked.at(now, kAskedMemory) / ordinary);
+    double part = kColdPart * roomy / scales / std::min(kCrowdMost, std::pow(crowd, kCrowdPower));
+    if (settings.groups) part /= kGroupMost;  // all of a group come
+    part *= count / scales;                   // for each unit of size
     for (Backend& b : backends) {
       if (b.restart_unsure && now - b.cold_since > kListLag) b.chill(0, false);
-      if (warmth(b) < 1) b.drawn = uniform() < part * std::pow(warmth(b), kColdPower);
+      if (warmth(b) < 1) b.drawn = uniform() < part * b.scale * std::pow(warmth(b), kColdPower);
     }
   }
 
