--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -133,7 +133,7 @@
   if (!fd_) return;
   while (accept_one()) {
   }
-  if (room_.none() && someone_waits()) return;
+  if (pause_.active() && someone_waits()) return;  // no descriptor was free for the next one
   pause_.stop();
   io_.stop();
   fd_.reset();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -76,6 +76,7 @@
 
   void on_io(int events);
   void read_some();
+  bool read_once();
   void flush();
   void fail(Ending ending);
   void watch();
