Let a pool's failures hold for its new set in the test, and count a call at the last moment

Seen under AddressSanitizer: a call of exactly 40 s was written past the last tenth of a second of the test's count. And the test of a silent pool expected five of its calls at once from a set of the same names made anew; as sets are told apart by their names, its failures hold as well as its limit: none goes at once, and five in all once the failures fade, which is stricter.

--- a/tests/crossings/discovery_test.cpp
+++ b/tests/crossings/discovery_test.cpp
@@ -71,7 +71,7 @@
 }
 
 TEST_CASE("Three hundred balancers whose calls fail do not ask discovery in step or all the time") {
-  std::vector<int> in_tenth(400);
+  std::vector<int> in_tenth(401);  // a call may fall on the last moment
   std::size_t all = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     for (Time at : calls_while_down(seed, 0, 40 * kSecond)) {
--- a/tests/placing_test.cpp
+++ b/tests/placing_test.cpp
@@ -82,11 +82,14 @@
     b.handle(ResultEvent{id, 0, false, b.placed[id], 700'000, Outcome::timeout, {}});
   CHECK(!b.placed.count(ask(silent)));
   CHECK(b.placed.count(ask(lively)));
-  // News of the list make new sets: the limit of the old one, half of ten, holds for these too
+  // News of the list make new sets of the same names: the failures and the limit, half of ten, hold for these
+  // too
   const auto silent_anew = set("1", "2");
-  int placed = 0;
-  for (int i = 0; i < 20; ++i) placed += static_cast<int>(b.placed.count(ask(silent_anew)));
-  CHECK(placed == 5);
+  b.placed.clear();
+  for (int i = 0; i < 20; ++i) ask(silent_anew);
+  CHECK(b.placed.empty());
+  b.run(1'500'000);  // the failures fade, and the limit stays
+  CHECK(b.placed.size() == 5);
 }
 
 TEST_CASE("where the settings know of no groups, connections spread over all workers") {
