Take workers' IPv6 addresses in a list again

Cause: the new check of addresses in lists (list_from, address_at) knew IPv4 only, so a list that names a worker over IPv6 was refused as a whole and the QUIC front had no worker.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -49,6 +49,21 @@
   return text;
 }
 
+bool is_ipv6_address(std::string_view text) {
+  std::size_t end = text.rfind("]:");
+  if (!text.starts_with('[') || end == std::string_view::npos) return false;
+  in6_addr address{};
+  std::string host(text.substr(1, end - 1));
+  return inet_pton(AF_INET6, host.c_str(), &address) == 1 && number_in<std::uint16_t>(text.substr(end + 2));
+}
+
+// A worker's, which the QUIC front may reach over IPv6 as well.
+const std::string& worker_address_at(const Options& options, std::string_view key) {
+  const std::string& text = options.text(key);
+  if (!parse_address(text) && !is_ipv6_address(text)) options.refuse(key, "a.b.c.d:port or [IPv6]:port");
+  return text;
+}
+
 }  // namespace
 
 std::optional<sockaddr_in> parse_address(std::string_view text) {
@@ -122,7 +137,7 @@
         {{"ready", Health::serving}, {"draining", Health::draining}, {"gone", Health::deleted}});
     if (const std::string* zone = options.find(path + "zone")) entry.backend.zone = *zone;
     const std::string* address = options.find(path + "address");
-    if (address && !address->empty()) entry.address = address_at(options, path + "address");
+    if (address && !address->empty()) entry.address = worker_address_at(options, path + "address");
     entry.backend.cell = options.number_or<std::int64_t>(path + "group", -1, -1);
     entry.backend.scale = options.number_or<double>(path + "weight", 0, 1);
     auto since_ms = options.number_or<std::int64_t>(path + "since_ms", 0, 0);
