Correct two comments: timers are no longer called before sockets

TimerWatch gives timers the lowest priority since the crossings were mended; the comments of RegistryWatch::out_of_time and Dispatcher::stalled_since_last_look still said otherwise. Comments only.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -307,8 +307,8 @@
   tell(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::load_changed, load});
 }
 
-// Timers come before sockets: after a stall the answers may lie there unread, and the first look would judge
-// by the time of the stall. The look after it judges, so that a process that stalls again and again still
+// After a stall the answers may lie unread in the sockets, and the first look would judge by the time of the
+// stall. The look after it judges, so that a process that stalls again and again still
 // looks.
 bool Dispatcher::stalled_since_last_look() {
   Time since = now() - std::exchange(looked_at_, now());
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -159,8 +159,7 @@
   next_.start(0);
 }
 
-// Timers are called before sockets: after a stall of the process the answer may lie in the socket, and it
-// counts as told since it was written.
+// After a stall of the process the answer may lie in the socket, and it counts as told since it was written.
 void RegistryWatch::out_of_time() {
   read_now();
   if (out_ && !patience_.active()) fail("no answer in time");
