Count moves and rejections by their reason, and log the figures that decided a move

Two of the known failures could not be traced: marblehub_moves_total does not say who asked for a move, nor marblehub_answers_total why a call was refused. Redirect and Reject of the policy carry a typed reason now; the core adds silence, the planner (balance or routes) and the planned restart. New: marblehub_move_reasons_total{reason} and marblehub_rejections_total{reason}. The older names keep their sums and stay without labels: tests and alerts read them so. At debug the log says the worker's delay and load for each move.

--- a/include/marblehub/policy.h
+++ b/include/marblehub/policy.h
@@ -190,18 +190,27 @@
   std::string backend;
   Time not_past = 0;
 };
+/// Why a request is rejected: the fleet is full; its time was up before any attempt could be made; or the
+/// attempts that it had have failed.
+enum class RejectReason { admission, held, attempts_failed };
 /// Final answer: rejected, trying again is harmless. retry_after 0: no hint.
 struct Reject {
   std::uint64_t id = 0;
   Time retry_after = 0;
+  RejectReason reason = RejectReason::attempts_failed;
 };
 /// Final answer: failed, promising nothing.
 struct Fail {
   std::uint64_t id = 0;
 };
-/// End an open connection politely; its client comes back.
+/// What is wrong with the backend that a connection leaves.
+enum class RedirectReason { draining, down, overwhelmed, late };
+/// End an open connection politely; its client comes back. The figures are what is known of its backend.
 struct Redirect {
   std::uint64_t id = 0;
+  RedirectReason reason = RedirectReason::draining;
+  double delay_ms = 0;  // that a message is said to take there
+  double load = 0;      // asked over what it can do
 };
 /// Send a health check.
 struct Probe {
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -170,10 +170,11 @@
   if (event.attempt >= 0) notify(std::move(event));
 }
 
-void Dispatcher::redirected(Exchange& exchange) {
+void Dispatcher::redirected(Exchange& exchange, MoveReason reason) {
   counters_.moves.add();
+  counters_.move_reason(reason).add();
   if (watch_) watch_->told_to_move();
-  log::debug("call {} moves off {}", exchange.id_, exchange.worker_);
+  log::debug("call {} moves off {}: {}", exchange.id_, exchange.worker_, name_of(reason));
   ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
   close(exchange);
   notify(std::move(event));
@@ -226,7 +227,8 @@
 bool Dispatcher::move(std::uint64_t id) {
   Exchange* exchange = find(id);
   if (!exchange || !exchange->standing() || exchange->moving()) return false;
-  exchange->redirect();
+  bool outside = gate_ && !gate_->belongs(exchange->call(), exchange->worker_);
+  exchange->redirect(outside ? MoveReason::routes : MoveReason::balance);
   return true;
 }
 
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -102,7 +102,7 @@
   void load_changed(Exchange& exchange, double load);
   void attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal);
   void client_left(Exchange& exchange, bool stood);
-  void redirected(Exchange& exchange);
+  void redirected(Exchange& exchange, MoveReason reason);
   void watch_messages(Exchange& exchange) { messages_.watch(exchange.id_); }
 
   // ---- The life of a call.
--- a/src/core/dispatcher_counters.cpp
+++ b/src/core/dispatcher_counters.cpp
@@ -8,6 +8,11 @@
 // By Outcome.
 constexpr std::array<const char*, 8> kOutcomeNames = {"served",         "error", "full",      "timeout",
                                                       "connect_failed", "reset", "cancelled", "not_sent"};
+// By MoveReason.
+constexpr std::array<const char*, 8> kMoveReasonNames = {"draining", "down",    "overwhelmed", "late",
+                                                         "silent",   "balance", "routes",      "restart"};
+// By RejectReason.
+constexpr std::array<const char*, 3> kRejectReasonNames = {"admission", "held", "attempts_failed"};
 
 Counter& answers(Counters& counters, const char* answer) {
   return counters.counter("marblehub_answers_total", "Final answers to clients", {{"answer", answer}});
@@ -16,6 +21,7 @@
 }  // namespace
 
 const char* name_of(Outcome outcome) { return kOutcomeNames[static_cast<std::size_t>(outcome)]; }
+const char* name_of(MoveReason reason) { return kMoveReasonNames[static_cast<std::size_t>(reason)]; }
 
 DispatcherCounters::DispatcherCounters(Counters& counters)
     : calls(counters.counter("marblehub_calls_total", "Calls taken from clients")),
@@ -49,6 +55,13 @@
   for (const char* name : kOutcomeNames)
     probe_results_.push_back(
         &counters.counter("marblehub_probe_results_total", "How probes ended", {{"outcome", name}}));
+  // Beside marblehub_moves_total and marblehub_answers_total, whose names and sums stay.
+  for (const char* name : kMoveReasonNames)
+    move_reasons_.push_back(&counters.counter("marblehub_move_reasons_total", "Clients told to move, by why",
+                                              {{"reason", name}}));
+  for (const char* name : kRejectReasonNames)
+    rejections_.push_back(&counters.counter(
+        "marblehub_rejections_total", "Calls that the policy has rejected, by why", {{"reason", name}}));
 }
 
 }  // namespace marblehub::core
--- a/src/core/dispatcher_counters.h
+++ b/src/core/dispatcher_counters.h
@@ -10,6 +10,7 @@
 
 /// As metrics and log lines say it.
 const char* name_of(Outcome outcome);
+const char* name_of(MoveReason reason);
 
 struct DispatcherCounters {
   explicit DispatcherCounters(Counters& counters);
@@ -17,12 +18,17 @@
   Counter& attempt_result(Outcome outcome) { return *attempt_results_[static_cast<std::size_t>(outcome)]; }
   Counter& probe_result(Outcome outcome) { return *probe_results_[static_cast<std::size_t>(outcome)]; }
 
+  Counter& move_reason(MoveReason reason) { return *move_reasons_[static_cast<std::size_t>(reason)]; }
+  Counter& rejection(policy::RejectReason reason) { return *rejections_[static_cast<std::size_t>(reason)]; }
+
   Counter &calls, &adopted, &served, &rejected, &failed, &clients_left, &deadline_answers, &attempts, &moves,
       &silent_moves, &slow_notes, &probes, &lists, &list_failures, &drain_stops;
   Counter &standing, &waiting, &workers_down;  // gauges
 
  private:
   std::vector<Counter*> attempt_results_, probe_results_;  // by Outcome
+  std::vector<Counter*> move_reasons_;                     // by MoveReason
+  std::vector<Counter*> rejections_;                       // by RejectReason
 };
 
 }  // namespace marblehub::core
--- a/src/core/dispatcher_policy.cpp
+++ b/src/core/dispatcher_policy.cpp
@@ -15,6 +15,20 @@
 
 constexpr Time kMillisecond = 1000;
 
+MoveReason reason_of(RedirectReason reason) {
+  switch (reason) {
+    case RedirectReason::draining:
+      return MoveReason::draining;
+    case RedirectReason::down:
+      return MoveReason::down;
+    case RedirectReason::overwhelmed:
+      return MoveReason::overwhelmed;
+    case RedirectReason::late:
+      return MoveReason::late;
+  }
+  return MoveReason::late;
+}
+
 }  // namespace
 
 // ---- Probes and lists --------------------------------------------------------------------------------
@@ -91,8 +105,10 @@
 }
 
 void Dispatcher::carry_out(const Reject& action) {
-  if (Exchange* exchange = find_waiting(action.id))
-    answer_and_close(*exchange, Answer::overload, action.retry_after);
+  Exchange* exchange = find_waiting(action.id);
+  if (!exchange) return;
+  counters_.rejection(action.reason).add();
+  answer_and_close(*exchange, Answer::overload, action.retry_after);
 }
 
 void Dispatcher::carry_out(const Fail& action) {
@@ -100,7 +116,12 @@
 }
 
 void Dispatcher::carry_out(const Redirect& action) {
-  if (Exchange* exchange = find(action.id)) exchange->redirect();
+  Exchange* exchange = find(action.id);
+  if (!exchange) return;
+  MoveReason reason = reason_of(action.reason);
+  log::debug("call {} is to leave {}: {}, messages take {:.0f} ms, load {:.2f}", action.id, exchange->worker_,
+             name_of(reason), action.delay_ms, action.load);
+  exchange->redirect(reason);
 }
 
 void Dispatcher::carry_out(const Probe& action) {
--- a/src/core/dispatcher_timers.cpp
+++ b/src/core/dispatcher_timers.cpp
@@ -27,7 +27,7 @@
   if (timer.kind == TimerKind::policy) return notify(TimerEvent{timer.id});
   if (timer.kind == TimerKind::monitor) return monitor();
   if (timer.kind == TimerKind::move) {
-    if (Exchange* exchange = find(timer.id)) exchange->redirect();
+    if (Exchange* exchange = find(timer.id)) exchange->redirect(MoveReason::restart);
     return;
   }
   Exchange* exchange = find_waiting(timer.id);
@@ -66,9 +66,9 @@
   for (const auto& [id, waited] : findings.late)
     if (Exchange* exchange = find(id)) message_answered(*exchange, waited);
   for (std::uint64_t id : findings.silent)
-    if (Exchange* exchange = find(id)) exchange->redirect();
+    if (Exchange* exchange = find(id)) exchange->redirect(MoveReason::silent);
   for (std::uint64_t id : findings.stopped)
-    if (Exchange* exchange = find(id)) exchange->redirect_now();
+    if (Exchange* exchange = find(id)) exchange->redirect_now(exchange->move_reason());
   counters_.standing.set(static_cast<double>(standing()));
   counters_.waiting.set(static_cast<double>(unanswered_));
   counters_.workers_down.set(static_cast<double>(balancer_.down().size()));
@@ -109,7 +109,8 @@
     if (exchange->state_ == Exchange::State::waiting) {
       answer_and_close(*exchange, Answer::overload, 0);
     } else {
-      exchange->redirect_now();  // inside a message too: what is held at the exit is cut off with no word
+      exchange->redirect_now(
+          MoveReason::restart);  // inside a message too: what is held at the exit is cut off with no word
     }
   }
 }
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -63,7 +63,7 @@
     dispatcher_.message_answered(*this, delay);
     if (state_ != State::standing) return;  // the module has moved this client on hearing it
   }
-  if (moving_ && client_between_) redirect_now();
+  if (moving_ && client_between_) redirect_now(move_reason_);
 }
 
 void Exchange::worker_load(double load) {
@@ -115,21 +115,22 @@
 }
 
 // A client is told to move between two messages only: a MOVE inside a line would be part of that line.
-void Exchange::redirect() {
+void Exchange::redirect(MoveReason reason) {
   if (state_ != State::standing || moving_) return;
-  if (client_between_) return redirect_now();
+  if (client_between_) return redirect_now(reason);
   moving_ = true;
+  move_reason_ = reason;
   dispatcher_.watch_messages(*this);
   moving_since_ = dispatcher_.now();
 }
 
-void Exchange::redirect_now() {
+void Exchange::redirect_now(MoveReason reason) {
   state_ = State::over;
   if (client_) client_->redirect();
   client_ = nullptr;
   if (attempt_) attempt_->finish(Ending::finished);
   drop_attempt();
-  dispatcher_.redirected(*this);
+  dispatcher_.redirected(*this, reason);
 }
 
 }  // namespace marblehub::core
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -39,7 +39,9 @@
   // ---- How it stands.
   bool standing() const { return state_ == State::standing; }
   bool moving() const { return moving_; }  // to be told to move once the stream is between two messages
-  bool move_overdue() const;               // the message that the move waits for does not end
+  /// Why it is to move; that its worker is silent where nothing else has asked for it.
+  MoveReason move_reason() const { return moving_ ? move_reason_ : MoveReason::silent; }
+  bool move_overdue() const;  // the message that the move waits for does not end
   bool awaits_answer() const { return !unanswered_.empty(); }
   Time unanswered_since() const {
     return unanswered_.front();
@@ -67,8 +69,8 @@
 
   void answer_overload(Time pause);
   void answer_failed(std::string_view words);
-  void redirect();
-  void redirect_now();
+  void redirect(MoveReason reason);
+  void redirect_now(MoveReason reason);
   void drop_attempt() { attempt_.reset(); }
 
   Dispatcher& dispatcher_;
@@ -86,6 +88,7 @@
   Time sent_at_ = 0, deadline_;
   bool moving_ = false;  // to be told to move as soon as the stream stands between two messages
   bool client_between_ = true;
+  MoveReason move_reason_ = MoveReason::restart;  // only if moving_
   Time moving_since_ = 0;
   Time heard_at_ = 0;  // when the worker's last bytes came
   // When each message of the client went to the worker. Few at a time, and none on most: no deque, which
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -26,6 +26,10 @@
 // How a side ended its part: in order, or by breaking off. Passed on as it came.
 enum class Ending { finished, broken };
 
+// Why a standing connection's client is told to move: what the policy says of its worker; no answer on it for
+// too long; the planner, for balance or because routes name another pool; a planned restart.
+enum class MoveReason { draining, down, overwhelmed, late, silent, balance, routes, restart };
+
 // Part of what one side sends the other while a connection stands.
 struct Piece {
   std::string_view bytes;
--- a/src/policy/migration/migration.cpp
+++ b/src/policy/migration/migration.cpp
@@ -41,6 +41,14 @@
   return context_.random.uniform() < rate * kSweepInterval && capacity_elsewhere();
 }
 
+void Migration::emit_redirect(std::uint64_t id, const Backend& backend) {
+  RedirectReason reason = backend.leaving_since >= 0 ? RedirectReason::draining
+                          : backend.down             ? RedirectReason::down
+                          : overwhelmed(backend)     ? RedirectReason::overwhelmed
+                                                     : RedirectReason::late;
+  context_.emit(Redirect{id, reason, delays_.delay(backend), backend.utilization});
+}
+
 // Whether at most half of the backends that can be judged are late or down: else migration is no help.
 bool Migration::capacity_elsewhere() const {
   if (admission_.admitted_part() < 1) return true;
@@ -60,7 +68,7 @@
   for (auto& [id, request] : requests_.requests) {
     if (!request.open || request.answered) continue;
     if (!troubled[static_cast<std::size_t>(request.backend)] || !leaves(request)) continue;
-    context_.emit(Redirect{id});
+    emit_redirect(id, backends_[request.backend]);
     request.answered = true;
   }
 }
--- a/src/policy/migration/migration.h
+++ b/src/policy/migration/migration.h
@@ -2,6 +2,7 @@
 /// is down, or whose messages come later than wanted.
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
 #include "policy/context.h"
@@ -25,6 +26,7 @@
   bool in_trouble(const Backend& backend) const;
   bool leaves(const Request& request);
   bool leaves_draining(const Backend& backend);
+  void emit_redirect(std::uint64_t id, const Backend& backend);
   bool capacity_elsewhere() const;
 
   Context& context_;
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -56,7 +56,7 @@
   Request& request = remember(event);
   if (parts_.context.random.uniform() < parts_.admission.admitted_part()) return place(event.id, request);
   Time longest = parts_.context.settings.max_retry_after_us;
-  reject(event.id, request, longest / 2 + parts_.context.random.up_to(longest / 2));
+  reject(event.id, request, longest / 2 + parts_.context.random.up_to(longest / 2), RejectReason::admission);
 }
 
 void RequestHandler::on(const HandoverEvent& event) {
@@ -150,14 +150,15 @@
 void RequestHandler::finish(std::uint64_t id, Request& request) {
   if (parts_.rules.harmless_to_repeat(request)) {
     Time longest = parts_.context.settings.max_retry_after_us;
-    return reject(id, request, parts_.context.random.up_to(longest / 4));
+    RejectReason reason = request.attempts == 0 ? RejectReason::held : RejectReason::attempts_failed;
+    return reject(id, request, parts_.context.random.up_to(longest / 4), reason);
   }
   parts_.context.emit(Fail{id});
   end(id, request);
 }
 
-void RequestHandler::reject(std::uint64_t id, Request& request, Time retry_after) {
-  parts_.context.emit(Reject{id, parts_.context.settings.may_send_retry_after ? retry_after : 0});
+void RequestHandler::reject(std::uint64_t id, Request& request, Time retry_after, RejectReason reason) {
+  parts_.context.emit(Reject{id, parts_.context.settings.may_send_retry_after ? retry_after : 0, reason});
   end(id, request);
 }
 
--- a/src/policy/requests/request_handler.h
+++ b/src/policy/requests/request_handler.h
@@ -60,7 +60,7 @@
   void end_setup(const Request& request);
   void judge(Backend& backend, const ResultEvent& event, const Request& request);
   void finish(std::uint64_t id, Request& request);
-  void reject(std::uint64_t id, Request& request, Time retry_after);
+  void reject(std::uint64_t id, Request& request, Time retry_after, RejectReason reason);
   void end(std::uint64_t id, Request& request);
 
   SetupLimiter& limiter_of(const Request& request) { return limiters_.of(request.only, parts_.context.now); }
