Test: stalls of under a second move nobody (fails, listed)

On the code as it is one client is moved: '20.233 b2 call 15 is to leave w4: late, messages take 185 ms, load 0.10', 0.24 s into a stall of 0.55 s of w4. New steps of the player: stall, stalls.

--- a/tests/fleet/processes/scenario.h
+++ b/tests/fleet/processes/scenario.h
@@ -22,6 +22,8 @@
 //                                   those come again at once
 //   worker NAME drain|kill|start    told by the registry; without a word; back under its name, cold
 //   silent WORKER ... | speaks WORKER ...
+//   stall WORKER|player SECONDS     it reads and says nothing for so long; the player: all workers and clients
+//   stalls workers|balancers|player TIMES FROM TO     one after another, at moments and of lengths drawn from the seed
 //   obey                            from now on those told BUSY MS call again then
 //   file WHO NAME TEXT              written into its folder, which settings name as FOLDER
 //   expect WHO see N within SECONDS         so many alive in each one's view, and all their views equal
--- a/tests/fleet/processes/scenario_player.h
+++ b/tests/fleet/processes/scenario_player.h
@@ -6,6 +6,7 @@
 #include <istream>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -47,6 +48,10 @@
 
   void mark();
 
+  void stall(std::istream& in);
+  void stalls(std::istream& in);
+  void stall_one(const std::string& kind, double seconds);
+
   void find_leader(std::istream& in);
 
   void each_link(const Names& from, const Names& to, const std::function<void(Faults&)>& act);
@@ -77,6 +82,7 @@
   Fleet wanted_;
   std::optional<Balancers> fleet_;
   double marked_ = 0, hup_at_ = 0;
+  std::mt19937_64 drawn_;  // moments and lengths; seeded with the scenario's seed
   std::string leader_;
   std::map<std::string, double> given_up_;
   std::map<std::string, std::map<std::string, double>> at_mark_;
--- a/tests/fleet/processes/scenario_steps.cpp
+++ b/tests/fleet/processes/scenario_steps.cpp
@@ -16,6 +16,7 @@
   if (!fleet_) {
     fleet_.emplace(wanted_, wanted_.workers > 0 ? whole_ : node_);
     marked_ = fleet_->now();
+    drawn_.seed(wanted_.seed);
   }
   if (verb == "at") {
     double when = number(in);
@@ -68,6 +69,8 @@
     for (std::string worker; in >> worker;) fleet_->stand_ins()->silent(worker, verb == "silent");
     return;
   }
+  if (verb == "stall") return stall(in);
+  if (verb == "stalls") return stalls(in);
   if (verb == "leader") return find_leader(in);
   if (verb == "settings") {
     std::string text;
@@ -159,6 +162,46 @@
   if (when > fleet_->now()) fleet_->pump(when - fleet_->now());
 }
 
+void ScenarioPlayer::stall(std::istream& in) {
+  std::string who;
+  in >> who;
+  const double seconds = number(in);
+  if (who == "player") return fleet_->stand_ins()->stall(seconds);
+  fleet_->stand_ins()->stall(who, seconds);
+}
+
+// One of that kind, drawn: nothing of it runs for so long.
+void ScenarioPlayer::stall_one(const std::string& kind, double seconds) {
+  const std::uint64_t any = drawn_();
+  if (kind == "player") {
+    fleet_->stand_ins()->stall(seconds);
+    return pump_until(fleet_->now() + seconds);
+  }
+  if (kind == "workers") {
+    fleet_->stand_ins()->stall("w" + std::to_string(1 + any % static_cast<std::uint64_t>(wanted_.workers)),
+                               seconds);
+    return pump_until(fleet_->now() + seconds);
+  }
+  if (kind != "balancers") throw std::runtime_error("workers, balancers or player expected, not " + kind);
+  const std::string& name = fleet_->names()[any % fleet_->names().size()];
+  fleet_->signal(name, SIGSTOP);
+  pump_until(fleet_->now() + seconds);
+  fleet_->signal(name, SIGCONT);
+}
+
+void ScenarioPlayer::stalls(std::istream& in) {
+  std::string kind;
+  in >> kind;
+  const double times = number(in), shortest = number(in), longest = number(in);
+  std::uniform_real_distribution<double> length(shortest, longest), pause(0.5, 2);
+  for (int i = 0; i < times; ++i) {
+    pump_until(fleet_->now() + pause(drawn_));
+    const double seconds = length(drawn_);
+    fleet_->note("scenario", "stalls " + kind + " for " + std::to_string(seconds) + " s");
+    stall_one(kind, seconds);
+  }
+}
+
 void ScenarioPlayer::mark() {
   marked_ = fleet_->now();
   if (!fleet_->counters(live(fleet_->names()))) throw Failed("a counter was asked for and not told");
--- a/tests/fleet/processes/scenarios_test.cpp
+++ b/tests/fleet/processes/scenarios_test.cpp
@@ -34,6 +34,7 @@
 
 // The two longest begin first: others are played beside them
 FLEET_SCENARIO("routes_moves", "[scenario]")
+FLEET_SCENARIO("stalls_move_nobody", "[scenario]")
 FLEET_SCENARIO("view_loss_long", "[scenario]")
 FLEET_SCENARIO("view_start", "[scenario]")
 FLEET_SCENARIO("view_start_at_once", "[scenario]")
--- a/tests/fleet/processes/stand_ins.cpp
+++ b/tests/fleet/processes/stand_ins.cpp
@@ -36,6 +36,7 @@
   };
   std::vector<Conn> conns;
   bool silent = false;
+  double stalled_until = 0;
   explicit Worker(std::string n) : name(std::move(n)) { ::listen(fd, 256); }
   ~Worker() { end(); }
   void end() {
@@ -105,6 +106,17 @@
     if (w->name == worker) w->silent = on;
 }
 
+void StandIns::stall(const std::string& worker, double seconds) {
+  std::lock_guard lock(mutex_);
+  for (auto& w : workers_)
+    if (w->name == worker) w->stalled_until = now() + seconds;
+}
+
+void StandIns::stall(double seconds) {
+  std::lock_guard lock(mutex_);
+  stalled_until_ = now() + seconds;
+}
+
 void StandIns::stay(double seconds) {
   std::lock_guard lock(mutex_);
   stay_ = seconds;
@@ -163,7 +175,7 @@
   while (!stop_) {
     {
       std::lock_guard lock(mutex_);
-      step();
+      if (now() >= stalled_until_) step();
     }
     ::usleep(500);
   }
@@ -171,7 +183,8 @@
 
 void StandIns::step() {
   registry_->stand_in.step();
-  for (auto& worker : workers_) step(*worker);
+  for (auto& worker : workers_)
+    if (now() >= worker->stalled_until) step(*worker);
   ask();
   auto ended = std::stable_partition(clients_.begin(), clients_.end(),
                                      [&](auto& c) { return c->stands ? stand(*c) : step(*c); });
--- a/tests/fleet/processes/stand_ins.h
+++ b/tests/fleet/processes/stand_ins.h
@@ -48,7 +48,9 @@
   // stand in each OPEN line after its deadline.
   void calls(const std::string& balancer, const std::string& address, double a_second,
              const std::string& fields);
-  void silent(const std::string& worker, bool on);  // it takes connections, and says and notes nothing
+  void silent(const std::string& worker, bool on);        // it takes connections, and says and notes nothing
+  void stall(const std::string& worker, double seconds);  // it reads and says nothing for so long
+  void stall(double seconds);                             // nor do any workers, clients and the registry
   // "drain" tells the registry; "kill" resets what stands at it and refuses what is new, without a word to
   // the registry; "start" has it come back cold under its name.
   void worker(const std::string& name, const std::string& what);
@@ -93,7 +95,7 @@
   std::vector<Ending> endings_;
   std::vector<Told> told_;
   std::uint64_t calls_ = 0;
-  double stay_ = 0;
+  double stay_ = 0, stalled_until_ = 0;
   std::atomic<bool> stop_ = false;
   std::thread thread_;
 };
