Move no client for a stall of under 0.7 s: tell of single late messages with half the aim

Cause: the core told the policy of the first slow message with its full delay, and from 0.8 of the objective on connections leave. Log: 'call 15 is to leave w4: late, messages take 185 ms, load 0.10', 0.24 s into a stall of 0.55 s. Ruled out by marblehub_move_reasons_total: silence, planner, routes, down and overwhelmed counted nothing.

Change: until messages at a worker have been slow for 0.7 s with none in time between, the policy is told half the objective at most.

--- a/src/core/dispatcher_timers.cpp
+++ b/src/core/dispatcher_timers.cpp
@@ -1,5 +1,6 @@
 // What the dispatcher does when a timer is due, and when the program restarts.
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "core/dispatcher.h"
@@ -76,11 +77,13 @@
 
 // A message of this call has been answered after so long, or waits for its answer since.
 void Dispatcher::message_answered(Exchange& exchange, Time delay) {
-  if (!messages_.is_news(exchange.worker_, delay, now())) return;
-  log::debug("messages at {} take {} ms", exchange.worker_, delay / kMillisecond);
+  std::optional<Time> news = messages_.news(exchange.worker_, delay, now());
+  if (!news) return;
+  log::debug("messages at {} take {} ms, told as {} ms", exchange.worker_, delay / kMillisecond,
+             *news / kMillisecond);
   counters_.slow_notes.add();
   notify(NoteEvent{exchange.id_, exchange.attempts_ - 1, NoteKind::messages_slow,
-                   static_cast<double>(delay) / kMillisecond});
+                   static_cast<double>(*news) / kMillisecond});
 }
 
 void Dispatcher::load_changed(Exchange& exchange, double load) {
--- a/src/core/message_monitor.cpp
+++ b/src/core/message_monitor.cpp
@@ -1,5 +1,6 @@
 #include "core/message_monitor.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -13,6 +14,10 @@
 // answer may have come 2 s before the first message that has none; and the look at it is up to an interval
 // late.
 constexpr Time kSilenceBound = 4500 * kMillisecond;
+constexpr Time kLongestStall =
+    700 * kMillisecond;                    // messages that are slow for no longer than this move nobody
+constexpr Time kSlowMemory = 5 * kSecond;  // a slow message counts for so long if none follows
+constexpr Time kNoteInterval = kSecond;
 constexpr Time kSlowPart = 3;  // a delay over one part in so many of the objective is slow
 
 }  // namespace
@@ -53,13 +58,27 @@
   }
 }
 
-bool MessageMonitor::is_news(const std::string& worker, Time delay, Time now) {
+// A single late message may be due to a stall that is over by the time it is heard of, as of a starved host:
+// no client is better off elsewhere for it.
+std::optional<Time> MessageMonitor::news(const std::string& worker, Time delay, Time now) {
   Pace& pace = paces_[worker];
-  bool slow = delay * kSlowPart > objective_;
-  if (slow ? now - pace.noted_at < kSecond : !pace.slow) return false;
-  pace.slow = slow;
+  if (delay * kSlowPart <= objective_) {
+    pace.slow_since = kNotSlow;
+    pace.confirmed = false;
+    if (!std::exchange(pace.noted, false)) return std::nullopt;
+    pace.noted_at = now;
+    return delay;
+  }
+  bool goes_on = pace.slow_since != kNotSlow && now - pace.slow_seen_at <= kSlowMemory;
+  if (!goes_on) pace.slow_since = now;
+  pace.slow_seen_at = now;
+  bool confirmed = now - pace.slow_since >= kLongestStall;
+  bool newly_confirmed = confirmed && !pace.confirmed;
+  if (!newly_confirmed && now - pace.noted_at < kNoteInterval) return std::nullopt;
+  pace.noted = true;
+  pace.confirmed = confirmed;
   pace.noted_at = now;
-  return true;
+  return confirmed ? delay : std::min(delay, objective_ / 2);
 }
 
 }  // namespace marblehub::core
--- a/src/core/message_monitor.h
+++ b/src/core/message_monitor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -45,14 +46,20 @@
   /// Walks the watched calls.
   Findings look(const Exchanges& exchanges, Time now);
 
-  /// Whether the policy is to be notified of a message's delay at a worker: once a second for a worker that
-  /// is slow, once more when it is back.
-  bool is_news(const std::string& worker, Time delay, Time now);
+  /// What the policy is to be told of a message's delay at a worker, in microseconds; none: nothing new. Told
+  /// once a second for a worker that is slow, once more when it is back. Until messages have been slow for
+  /// longer than a stall they are told with half the objective at most, which moves nobody.
+  std::optional<Time> news(const std::string& worker, Time delay, Time now);
 
  private:
-  struct Pace {  // how messages at one worker fare
+  static constexpr Time kNotSlow = -1;
+
+  struct Pace {                  // how messages at one worker fare
+    Time slow_since = kNotSlow;  // of the first of the slow messages that none in time has followed
+    Time slow_seen_at = 0;       // of the last of them
     Time noted_at = 0;
-    bool slow = false;
+    bool noted = false;      // the policy takes it for slow
+    bool confirmed = false;  // and knows that this is no stall
   };
 
   void judge(const Exchange& exchange, Time now, Findings& findings) const;
