--- a/src/policy/requests/retry_rules.h
+++ b/src/policy/requests/retry_rules.h
@@ -18,9 +18,9 @@
   /// Whether a further attempt may be made at all. Once it may not it never will: it is answered at once.
   bool repeatable(const Request& request) const;
 
-  /// Whether no more than the latency objective is left of its time.
+  /// Whether no more of its time is left than one connect may take, and two sweeps.
   bool nearly_over(const Request& request) const {
-    return request.deadline - context_.now <= class_of(request).slo_us;
+    return request.deadline - context_.now <= context_.settings.connect_timeout_us + 2 * kSweepInterval;
   }
 
   /// Whether the request may be sent to this backend.
