Review stand-ins: no process outlives its test

Cause: a test that is killed left its balancers running. Change: a balancer gets SIGKILL when its test ends; a gateway stand-in takes a port that is free on TCP and UDP.

--- a/review/standins/marble.py
+++ b/review/standins/marble.py
@@ -2,6 +2,7 @@
 balancers are started beside it as separate processes with the `run` command of the deploy file."""
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -215,6 +216,12 @@
 
 
 STARTED = []  # all processes of this test
+LIBC = ctypes.CDLL(None)
+
+
+def die_with_parent():
+    """In a process just started: it gets SIGKILL should this one end without having ended it."""
+    LIBC.prctl(1, signal.SIGKILL)
 
 
 def end_all(*_):
@@ -250,7 +257,8 @@
                "BALANCER_DISCOVERY": self.config["discovery"], "BALANCER_CONFIG": str(self.config_path)}
         self.log = open(self.folder / f"{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run_command(), cwd=ROOT, env=env, stdout=self.log, stderr=self.log)
+            "/bin/sh", "-c", run_command(), cwd=ROOT, env=env, stdout=self.log, stderr=self.log,
+            preexec_fn=die_with_parent)
         STARTED.append(self.process)
         self.record(f"balancer {self.name}: started")
         await self.ready()
--- a/review/standins/quic.py
+++ b/review/standins/quic.py
@@ -45,11 +45,15 @@
     client_id = b"client-1"
 
     async def start(self):
-        await super().start()
-        host, port = marble.host_port(self.address)
-        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=(host, port))
         self.packets = 0
+        while True:  # until a port is free on TCP and on UDP
+            await super().start()
+            try:
+                self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                    lambda: self, local_addr=marble.host_port(self.address))
+                return
+            except OSError:
+                self.server.close()
 
     def datagram_received(self, data, address):
         if data[0] == 0x04:
