--- a/review/standins/marble.py
+++ b/review/standins/marble.py
@@ -180,6 +180,7 @@
         self.address = None
         self.runs = []       # (time, id, key, class) of each OPEN line whose last byte has come
         self.up = set()      # ids that were answered UP
+        self.standing = {}   # the open connections of those, by id
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -208,12 +209,20 @@
                     await asyncio.sleep(self.setup.get(fields["c"], 0.005))
                     writer.write(f"UP r-{self.name}-{ident}\r\n".encode())
                     self.up.add(ident)
+                    self.standing[ident] = writer
                     self.record(f"server {self.name}: answers UP {ident}")
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             if ident:
+                self.standing.pop(ident, None)
                 self.record(f"server {self.name}: connection of {ident} has ended")
 
+    def leave(self):
+        """Ends as a process does: no new connections, and the open ones are reset."""
+        self.server.close()
+        for writer in list(self.standing.values()):
+            writer.transport.abort()
+
 
 STARTED = []  # all processes of this test
 LIBC = ctypes.CDLL(None)
