--- a/review/standins/quic_peers.py
+++ b/review/standins/quic_peers.py
@@ -41,11 +41,12 @@
     """A server whose address takes probes over TCP and QUIC over UDP. `runs` has each connection that was begun here
     and each request that was run: (time, what, connection, number)."""
 
-    def __init__(self, record, name, silent=False, **more):
+    def __init__(self, record, name, configured=True, **more):
         super().__init__(record, name, **more)
-        self.silent = silent   # takes Initials and answers none
+        self.configured = configured  # has an id configuration; until then its ids are unroutable
         self.connections = {}  # own id -> (client's id, first destination id)
         self.begun = {}        # (first destination id, client's id) -> own id
+        self.renewed = {}      # an unroutable id -> the one that it was replaced with
         self.strays = 0        # packets for connections that are not this gateway's
 
     async def start(self):
@@ -78,7 +79,12 @@
             return self.record(f"gateway {self.name}: connection {own.hex()} has ended")
         self.runs.append((self.record.now(), "request", own.hex(), what))
         self.record(f"gateway {self.name}: runs {what.decode()} of {own.hex()}")
-        self.transport.sendto(bytes([0x43]) + known[0] + b"ANSWER " + what.ljust(40, b"\0"), address)
+        answer = b"ANSWER " + what
+        if self.configured and own[0] >> 5 == 0b111:  # as NEW_CONNECTION_ID does, with the older one retired
+            issued = self.renewed.setdefault(own, self.own_id())
+            self.connections[issued] = known
+            answer = b"ID " + issued.hex().encode() + b" " + answer
+        self.transport.sendto(bytes([0x43]) + known[0] + answer.ljust(48, b"\0"), address)
 
     def initial(self, data, address):
         destination, source, _ = initials.long_header(data)
@@ -90,11 +96,10 @@
             self.connections[own] = (source, destination)
             self.runs.append((self.record.now(), "connection", source.hex(), destination))
             self.record(f"gateway {self.name}: begins connection {own.hex()} of client id {source.hex()}")
-        if not self.silent:
-            self.transport.sendto(initials.server_initial(destination, source, own), address)
+        self.transport.sendto(initials.server_initial(destination, source, own), address)
 
     def own_id(self):
-        return routable_id(self.name)
+        return routable_id(self.name) if self.configured else unroutable_id()
 
     def leave(self):
         super().leave()
@@ -160,7 +165,11 @@
                     connection.destination = source
                 connection.changed.set()
             elif connection := self.connections.get(data[1:9]):
-                number = data[9:].rstrip(b"\0").split()[-1].decode()
+                words = data[9:].rstrip(b"\0").decode().split()
+                number = words[-1]
+                if words[0] == "ID" and connection.destination.hex() != words[1]:
+                    connection.destination = bytes.fromhex(words[1])
+                    self.record(f"scooter {self.name}: uses id {words[1]} from now on")
                 connection.answers[number] = connection.answers.get(number, 0) + 1
                 connection.changed.set()
 
