Keep a QUIC flow's key in the table, so that it is found after its client moved

Cause: such a flow stands in the table under its client's address. Front::remove made that key anew from Flow::client, which Front::attach sets to the new address; it then read and erased flows_.end(), or another client's flow.

Ruled out: the key of paths, which no longer change their client once they are indexed.

The flow now refers to its own key, which never changes; remove asserts that it is found there.

--- a/src/fleet/service/service.cpp
+++ b/src/fleet/service/service.cpp
@@ -11,6 +11,9 @@
 namespace marblehub::fleet {
 namespace {
 
+// The components that the fleet's invariants name; see MARBLEHUB_INVARIANT.
+const std::set<std::string_view> kFleetComponents = {"node", "record", "routes", "view", "wallet"};
+
 const char* const kAbortReasons[] = {"refused", "late", "replaced", "proposer_gone"};
 
 // The metric's label for a reason from record/command.cpp or routes/driver.cpp.
@@ -67,10 +70,9 @@
   for (const char* why : kAbortReasons)
     aborted_[why] = &m.counter("marblehub_fleet_activations_aborted_total",
                                "Route activations that were aborted", {{"why", why}});
-  check::on_violation = [this](const char* component, const std::string& what) {
-    if (disabled_components_.insert(component).second)
-      log::error("fleet: {} is off, an invariant was violated: {}", component, what);
-  };
+  outer_violation_handler_ = std::exchange(
+      check::on_violation,
+      [this](const char* component, const std::string& what) { handle_violation(component, what); });
   driver_.on_name_conflict([stop = std::move(stop)](const std::string&) { stop(); });
   driver_.on_step([this] { after_step(); });
   log::info("fleet: {} of {} on {}", settings_.name, settings_.fleet, settings_.listen);
@@ -81,7 +83,17 @@
   reload(std::move(files));
 }
 
-FleetService::~FleetService() { check::on_violation = nullptr; }
+FleetService::~FleetService() { check::on_violation = std::move(outer_violation_handler_); }
+
+// Turns off the part of the fleet that a violated invariant belongs to; those of other modules are passed on.
+void FleetService::handle_violation(const char* component, const std::string& what) {
+  if (!kFleetComponents.contains(component)) {
+    if (!outer_violation_handler_) throw check::InvariantViolation(component, what);
+    return outer_violation_handler_(component, what);
+  }
+  if (disabled_components_.insert(component).second)
+    log::error("fleet: {} is off, an invariant was violated: {}", component, what);
+}
 
 NodeOptions FleetService::node_options(FleetFiles& files, const config::Startup& startup, Time now) {
   NodeOptions options;
--- a/src/fleet/service/service.h
+++ b/src/fleet/service/service.h
@@ -55,6 +55,7 @@
   Routes* reloadable_routes(const FleetFiles& next);
   Wallets* reloadable_wallets(const FleetFiles& next);
   void after_step();
+  void handle_violation(const char* component, const std::string& what);
   void report_wallets(const Ledger& ledger, const Wallets& wallets);
   bool is_enabled(const char* component);  // false: switched off, because an invariant was violated
 
@@ -74,6 +75,8 @@
   std::uint64_t logged_version_ = 0;
   PlacementMode logged_mode_ = PlacementMode::no_table;
   std::set<std::string> disabled_components_;
+  // Takes the violations of other modules' invariants; may be empty.
+  std::function<void(const char* component, const std::string& what)> outer_violation_handler_;
   metrics::Metric &version_, &fenced_, &alone_, &paused_, &refused_fenced_, &refused_paused_, &majority_,
       &leads_, &no_vote_, &held_back_, &broken_parts_, &budget_members_;
   std::map<std::string_view, metrics::Metric*> aborted_;  // by reason
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <vector>
 
+#include "check/check.h"
 #include "core/dispatcher.h"
 #include "fleet/service/service.h"
 #include "log/log.h"
@@ -325,6 +326,15 @@
   bool moves_started_ = false, paused_ = false, input_read_first_ = false;
 };
 
+// Violated invariants are logged and the service goes on. In test builds they throw, which ends the process.
+void log_violations() {
+#ifndef MARBLEHUB_CHECKS
+  check::on_violation = [](const char* component, const std::string& what) {
+    log::error("{}: an invariant was violated: {}", component, what);
+  };
+#endif
+}
+
 }  // namespace
 }  // namespace marblehub
 
@@ -341,6 +351,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   // Signals stay pending until their watchers exist, and are not delivered while the program exits.
   marblehub::net::UnblockedSignals::block(marblehub::kHandledSignals);
+  marblehub::log_violations();
   try {
     const char* path = argc > 1 ? argv[1] : std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG is not set");
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -18,6 +18,10 @@
 class Flow;
 class Path;
 
+/// The key of a flow in the front's table: the length of the destination id of the client's Initials, that id
+/// and the source id; or, for a flow routed by address, a marker and the client address at its beginning.
+using FlowKey = InlineBytes<41>;
+
 /// A connected socket to one worker, shared by all its clients (forwarding proxy-v2) or dedicated to one path
 /// (forwarding socket).
 class Upstream {
@@ -94,7 +98,9 @@
     return first_destination == id || (original_destination && *original_destination == id);
   }
   Front& front;
-  ConnectionId first_destination, client_source;  // the ids in its Initials; the key in the table
+  // Its key in the front's table, which owns it. Unlike `client`, it never changes while the flow exists.
+  const FlowKey* table_key = nullptr;
+  ConnectionId first_destination, client_source;  // the ids in its Initials
   // State that is needed until the connection is established, or until its CONNECTION_CLOSE expires.
   struct HandshakeState {
     std::vector<std::string> flight;  // the client's first datagrams, sent in each attempt
@@ -111,7 +117,7 @@
   Path* path = nullptr;  // to the worker of the connection or of the pending attempt
   std::vector<ConnectionId> linked_ids;
   bool is_established = false, finished = false, validated = false, attempt_pending = false;
-  bool routed_by_address = false;  // its ids are unroutable; it is identified by the client address
+  bool routed_by_address = false;  // begun with an unroutable id; it is identified by the client address
   bool bound_by_retry = false;     // the worker has sent a Retry, which no other worker can validate
   signed char move_requests_left = 0;
   std::size_t bytes_received = 0, bytes_sent = 0;  // counted until validated
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -1,9 +1,6 @@
 #include "quic/front.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <stdexcept>
 
 #include "log/log.h"
 #include "quic/initial.h"
@@ -18,9 +15,6 @@
 constexpr std::size_t kMaxFlightDatagrams = 8;    // buffered of a client's first flight, for further attempts
 constexpr std::size_t kMaxEarlyDataClients = 64;  // clients whose 0-RTT is buffered before their Initial
 constexpr std::size_t kMaxEarlyDatagrams = 4;     // of each such client
-constexpr Time kEarlyDataLifetime = 500'000;
-constexpr Time kSweepInterval = 200'000;
-constexpr Time kClosePacketLifetime = 3'000'000;  // repeated Initials get the same CONNECTION_CLOSE so long
 constexpr std::size_t kMinAddressRoutedPacket = 43;  // shorter packets with an unroutable id begin no call
 
 }  // namespace
@@ -92,30 +86,6 @@
 
 void Front::close() { closed_ = true; }
 
-std::vector<std::string> Front::reload(QuicSettings next) {
-  if (std::string conflict = ids_.conflict(next.ids); !conflict.empty()) throw ConfigError(conflict);
-  std::vector<std::string> names;
-  for (const auto& [name, worker] : dispatcher_.workers())
-    if (worker.health != marblehub::policy::Health::deleted) names.push_back(name);
-  if (auto found = server_id_conflicts(next, names); !found.empty()) throw ConfigError(found[0]);
-  std::vector<std::string> restart_keys = needs_restart(settings_, next);
-  // Nothing below throws.
-  next.listen = settings_.listen;
-  next.forwarding = settings_.forwarding;
-  ids_.replace(next.ids, loop_.now(), next.retirement_period);
-  // Issued tokens stay valid unless the mode or the keys change.
-  const ValidationSettings &old_retry = settings_.retry, &new_retry = next.retry;
-  if (old_retry.mode != new_retry.mode || old_retry.secret != new_retry.secret ||
-      old_retry.from_rate != new_retry.from_rate || old_retry.token_lifetime != new_retry.token_lifetime ||
-      old_retry.key_lifetime != new_retry.key_lifetime)
-    validation_ = AddressValidation(new_retry);
-  if (next.reset_key != settings_.reset_key || next.resets_per_second != settings_.resets_per_second)
-    reset_ = StatelessReset(next.reset_key, next.resets_per_second);
-  settings_ = std::move(next);
-  workers_stale_ = true;
-  return restart_keys;
-}
-
 void Front::receive_from_clients() {
   now_ = loop_.now();
   for (int i = 0; i < kMaxBatches; ++i) {
@@ -215,7 +185,7 @@
       flow->handshake_state->flight.push_back(std::move(datagram));
     early_data_.erase(early);
   }
-  begin_call(std::move(flow), key, datagram.bytes);
+  begin_call(flow, key, datagram.bytes);
 }
 
 core::Call Front::call() const {
@@ -226,13 +196,12 @@
 }
 
 // Adds a flow to the table and passes its call to the core.
-void Front::begin_call(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes) {
-  Flow* raw = flow.get();
-  flows_.emplace(key, std::move(flow));
-  raw->last_used = now_;
-  raw->bytes_received = bytes.size();
-  core::Exchange& exchange = dispatcher_.accept_call(call(), *raw, *raw);
-  if (!raw->refused() && !raw->finished) raw->exchange = &exchange;  // otherwise it ended inside accept_call
+void Front::begin_call(const std::shared_ptr<Flow>& flow, const FlowKey& key, std::string_view bytes) {
+  if (!insert(flow, key)) return;
+  flow->last_used = now_;
+  flow->bytes_received = bytes.size();
+  core::Exchange& exchange = dispatcher_.accept_call(call(), *flow, *flow);
+  if (!flow->refused() && !flow->finished) flow->exchange = &exchange;  // else it ended inside accept_call
 }
 
 // A datagram of a call without a reply from a worker yet. The client's address may have changed.
@@ -279,7 +248,7 @@
   flow->routed_by_address = true;
   flow->handshake_state = std::make_unique<Flow::HandshakeState>();
   flow->handshake_state->flight.emplace_back(bytes);
-  begin_call(std::move(flow), key, bytes);
+  begin_call(flow, key, bytes);
 }
 
 void Front::route_by_id(const IdCodec::Decoded& id, std::string_view bytes, const Datagram& datagram) {
@@ -343,58 +312,4 @@
   send_now(fd_.get(), "", bytes, &client);
 }
 
-void Front::refresh_workers() {
-  if (!workers_stale_ && workers_version_ == dispatcher_.list_version()) return;
-  workers_stale_ = false;
-  workers_version_ = dispatcher_.list_version();
-  // Sockets to a worker whose address has changed are closed.
-  for (WorkerTable::Worker* worker :
-       workers_.refresh(dispatcher_.workers(), settings_, ids_.codec().configs())) {
-    if (auto shared = shared_upstreams_.find(worker); shared != shared_upstreams_.end()) {
-      std::erase(unflushed_, shared->second.get());
-      shared->second->close();
-      // Deferred, since a callback of this socket may be on the stack.
-      loop_.defer_release(std::shared_ptr<Upstream>(std::move(shared->second)));
-      shared_upstreams_.erase(shared);
-    }
-    std::vector<Path*> affected;
-    for (auto& [raw, path] : all_paths_)
-      if (&path->worker == worker && path->dedicated_upstream) affected.push_back(raw);
-    for (Path* path : affected) {
-      std::erase(unflushed_, path->dedicated_upstream.get());
-      path->dedicated_upstream->close();  // reopened for the next datagram
-    }
-  }
-}
-
-void Front::sweep() {
-  Time now = loop_.now();
-  if (ids_.expire(now)) workers_stale_ = true;
-  std::vector<std::shared_ptr<Flow>> removed;
-  for (auto& [key, flow] : flows_) {
-    if (flow->move_requests_left > 0) flow->request_move();
-    bool answered = flow->refused() && now - flow->last_used > kClosePacketLifetime;
-    bool idle = flow->is_established && now - flow->last_used > settings_.idle_timeout;
-    if (answered || idle || flow->finished) removed.push_back(flow);
-  }
-  for (auto& flow : removed) {
-    if (core::Exchange* exchange = std::exchange(flow->exchange, nullptr))
-      exchange->client_left(CloseKind::orderly);
-    remove(*flow);
-  }
-  while (oldest_ && now - oldest_->last_used > settings_.idle_timeout) drop_path(*oldest_);
-  std::erase_if(early_data_,
-                [now](const auto& entry) { return now - entry.second.received_at > kEarlyDataLifetime; });
-  flows_gauge_.set(static_cast<double>(flows_.size()));
-  paths_gauge_.set(static_cast<double>(all_paths_.size()));
-  retry_gauge_.set(validation_.requires_retry());
-  retiring_gauge_.set(static_cast<double>(ids_.retiring()));
-  auto closed = std::count_if(workers_.workers().begin(), workers_.workers().end(),
-                              [](const auto& worker) { return worker->port_closed && !worker->deleted; });
-  closed_gauge_.set(static_cast<double>(closed));
-  sockets_gauge_.set(static_cast<double>(
-      settings_.forwarding == Forwarding::socket ? all_paths_.size() : shared_upstreams_.size()));
-  sweep_timer_.start(kSweepInterval);
-}
-
 }  // namespace marblehub::quic
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -3,9 +3,9 @@
 // worker; later packets follow the server id in their destination connection id, from any client address.
 // docs/quic.md describes its features and limits.
 //
-// front.cpp: datagrams from clients, reload and the periodic sweep. worker_side.cpp: sockets to workers and
-// datagrams from them. tables.cpp: the tables of flows, connection ids and paths. flow.cpp: the state of a
-// call.
+// front.cpp: datagrams from clients. maintenance.cpp: reload and the periodic sweep. worker_side.cpp: sockets
+// to workers and datagrams from them. tables.cpp: the tables of flows, connection ids and paths.
+// table_checks.cpp: their consistency. flow.cpp: the state of a call.
 #pragma once
 
 #include <map>
@@ -50,9 +50,8 @@
   friend class Upstream;
   friend class Attempt;
 
-  // The length of the destination id of the client's Initials, that id, and the source id; or an address key.
-  using FlowKey = InlineBytes<41>;
-  using PathKey = InlineBytes<26>;  // the worker's index and the client's address
+  static constexpr Time kSweepInterval = 200'000;  // microseconds
+  using PathKey = InlineBytes<26>;                 // the worker's index and the client's address
   static FlowKey flow_key(std::string_view destination, std::string_view source);
   static FlowKey address_key(const Endpoint& client);
   static PathKey path_key(const Endpoint& client, const WorkerTable::Worker& worker);
@@ -71,12 +70,14 @@
   void handle_pending(Flow& flow, const Datagram& datagram, std::string_view bytes);
   void route_by_address(std::string_view bytes, const Datagram& datagram);
   core::Call call() const;  // the request class and deadline of every call of this front
-  void begin_call(std::shared_ptr<Flow> flow, FlowKey key, std::string_view bytes);
+  void begin_call(const std::shared_ptr<Flow>& flow, const FlowKey& key, std::string_view bytes);
   void route_by_id(const IdCodec::Decoded& id, std::string_view bytes, const Datagram& datagram);
   void forward(Flow& flow, std::string_view bytes, const Datagram& datagram);
   void buffer_early_data(const Header& header, std::string_view bytes);
   void send_stateless_reset(std::string_view id, std::string_view bytes, const Endpoint& to);
   void send_to_client(const Endpoint& client, std::string_view bytes);
+
+  // ---- maintenance.cpp
   void refresh_workers();
   void sweep();
 
@@ -120,8 +121,14 @@
   void link_id(Flow& flow, std::string_view id);
   Flow* find_linked(std::string_view id);
   void adopt(Path& path);
+  bool insert(const std::shared_ptr<Flow>& flow, const FlowKey& key);
   void remove(Flow& flow);
 
+  // ---- table_checks.cpp
+  // The first inconsistency of the tables; empty if there is none. Linear in their size.
+  std::string table_fault() const;
+  std::string flow_fault(const FlowKey& key, const Flow& flow) const;
+
   net::Loop& loop_;
   core::Dispatcher& dispatcher_;
   QuicSettings settings_;
--- /dev/null
+++ b/src/quic/maintenance.cpp
@@ -0,0 +1,98 @@
+// The front's reload, and its periodic work: changes of the worker list, repeated move requests, and the
+// removal of what has ended or is idle.
+#include <algorithm>
+
+#include "check/check.h"
+#include "quic/front.h"
+
+namespace marblehub::quic {
+
+using core::CloseKind;
+
+namespace {
+
+constexpr Time kEarlyDataLifetime = 500'000;
+constexpr Time kClosePacketLifetime = 3'000'000;  // repeated Initials get the same CONNECTION_CLOSE so long
+
+}  // namespace
+
+std::vector<std::string> Front::reload(QuicSettings next) {
+  if (std::string conflict = ids_.conflict(next.ids); !conflict.empty()) throw ConfigError(conflict);
+  std::vector<std::string> names;
+  for (const auto& [name, worker] : dispatcher_.workers())
+    if (worker.health != marblehub::policy::Health::deleted) names.push_back(name);
+  if (auto found = server_id_conflicts(next, names); !found.empty()) throw ConfigError(found[0]);
+  std::vector<std::string> restart_keys = needs_restart(settings_, next);
+  // Nothing below throws.
+  next.listen = settings_.listen;
+  next.forwarding = settings_.forwarding;
+  ids_.replace(next.ids, loop_.now(), next.retirement_period);
+  // Issued tokens stay valid unless the mode or the keys change.
+  const ValidationSettings &old_retry = settings_.retry, &new_retry = next.retry;
+  if (old_retry.mode != new_retry.mode || old_retry.secret != new_retry.secret ||
+      old_retry.from_rate != new_retry.from_rate || old_retry.token_lifetime != new_retry.token_lifetime ||
+      old_retry.key_lifetime != new_retry.key_lifetime)
+    validation_ = AddressValidation(new_retry);
+  if (next.reset_key != settings_.reset_key || next.resets_per_second != settings_.resets_per_second)
+    reset_ = StatelessReset(next.reset_key, next.resets_per_second);
+  settings_ = std::move(next);
+  workers_stale_ = true;
+  return restart_keys;
+}
+
+void Front::refresh_workers() {
+  if (!workers_stale_ && workers_version_ == dispatcher_.list_version()) return;
+  workers_stale_ = false;
+  workers_version_ = dispatcher_.list_version();
+  // Sockets to a worker whose address has changed are closed.
+  for (WorkerTable::Worker* worker :
+       workers_.refresh(dispatcher_.workers(), settings_, ids_.codec().configs())) {
+    if (auto shared = shared_upstreams_.find(worker); shared != shared_upstreams_.end()) {
+      std::erase(unflushed_, shared->second.get());
+      shared->second->close();
+      // Deferred, since a callback of this socket may be on the stack.
+      loop_.defer_release(std::shared_ptr<Upstream>(std::move(shared->second)));
+      shared_upstreams_.erase(shared);
+    }
+    std::vector<Path*> affected;
+    for (auto& [raw, path] : all_paths_)
+      if (&path->worker == worker && path->dedicated_upstream) affected.push_back(raw);
+    for (Path* path : affected) {
+      std::erase(unflushed_, path->dedicated_upstream.get());
+      path->dedicated_upstream->close();  // reopened for the next datagram
+    }
+  }
+}
+
+void Front::sweep() {
+  Time now = loop_.now();
+  if (ids_.expire(now)) workers_stale_ = true;
+  std::vector<std::shared_ptr<Flow>> removed;
+  for (auto& [key, flow] : flows_) {
+    if (flow->move_requests_left > 0) flow->request_move();
+    bool answered = flow->refused() && now - flow->last_used > kClosePacketLifetime;
+    bool idle = flow->is_established && now - flow->last_used > settings_.idle_timeout;
+    if (answered || idle || flow->finished) removed.push_back(flow);
+  }
+  for (auto& flow : removed) {
+    if (core::Exchange* exchange = std::exchange(flow->exchange, nullptr))
+      exchange->client_left(CloseKind::orderly);
+    remove(*flow);
+  }
+  while (oldest_ && now - oldest_->last_used > settings_.idle_timeout) drop_path(*oldest_);
+  MARBLEHUB_DEBUG_INVARIANT("quic", table_fault().empty(), table_fault());
+  std::erase_if(early_data_,
+                [now](const auto& entry) { return now - entry.second.received_at > kEarlyDataLifetime; });
+  flows_gauge_.set(static_cast<double>(flows_.size()));
+  paths_gauge_.set(static_cast<double>(all_paths_.size()));
+  retry_gauge_.set(validation_.requires_retry());
+  retiring_gauge_.set(static_cast<double>(ids_.retiring()));
+  auto closed = std::count_if(workers_.workers().begin(), workers_.workers().end(),
+                              [](const auto& worker) { return worker->port_closed && !worker->deleted; });
+  closed_gauge_.set(static_cast<double>(closed));
+  sockets_gauge_.set(static_cast<double>(
+      settings_.forwarding == Forwarding::socket ? all_paths_.size() : shared_upstreams_.size()));
+  sweep_timer_.start(kSweepInterval);
+}
+
+}  // namespace marblehub::quic
--- a/src/quic/tables.cpp
+++ b/src/quic/tables.cpp
@@ -2,6 +2,7 @@
 // before its next wait, since one of their callbacks may be on the stack.
 #include <algorithm>
 
+#include "check/check.h"
 #include "quic/front.h"
 
 namespace marblehub::quic {
@@ -19,7 +20,7 @@
 
 }  // namespace
 
-Front::FlowKey Front::flow_key(std::string_view destination, std::string_view source) {
+FlowKey Front::flow_key(std::string_view destination, std::string_view source) {
   char bytes[41];
   bytes[0] = static_cast<char>(destination.size());
   std::copy(destination.begin(), destination.end(), bytes + 1);
@@ -28,7 +29,7 @@
 }
 
 // The first byte exceeds every id length, so that address keys never equal id keys.
-Front::FlowKey Front::address_key(const Endpoint& client) {
+FlowKey Front::address_key(const Endpoint& client) {
   char bytes[41];
   bytes[0] = '\xff';
   std::string_view from = client.bytes();
@@ -168,7 +169,7 @@
   header.version = kVersion1;
   header.destination = path.last_id;
   auto flow = std::make_shared<Flow>(*this, header, path.client);
-  if (!flows_.try_emplace(flow_key(path.last_id, ""), flow).second) return;
+  if (!insert(flow, flow_key(path.last_id, ""))) return;
   adopted_.add();
   flow->is_established = flow->validated = true;
   flow->last_used = now_;
@@ -180,6 +181,13 @@
   if (flow->move_requests_left == 0 && !flow->finished) flow->exchange = &exchange;
 }
 
+// Adds a flow to the table; false if the key belongs to another one.
+bool Front::insert(const std::shared_ptr<Flow>& flow, const FlowKey& key) {
+  auto [it, inserted] = flows_.try_emplace(key, flow);
+  if (inserted) flow->table_key = &it->first;  // stays valid until the entry is erased
+  return inserted;
+}
+
 void Front::remove(Flow& flow) {
   for (const ConnectionId& id : flow.linked_ids) flows_by_id_.erase(id);
   flow.linked_ids.clear();
@@ -187,8 +195,10 @@
     remove_pending_attempt(flow);
     detach(flow);
   }
-  auto it = flows_.find(flow.routed_by_address ? address_key(flow.client)
-                                               : flow_key(flow.first_destination, flow.client_source));
+  auto it = flows_.find(*flow.table_key);
+  const bool found = it != flows_.end() && it->second.get() == &flow;
+  MARBLEHUB_INVARIANT("quic", found, "a flow is not in the table under its key");
+  if (!found) return;
   loop_.defer_release(it->second);
   flows_.erase(it);
 }
--- a/tests/quic/testbed.h
+++ b/tests/quic/testbed.h
@@ -91,7 +91,13 @@
       it = locks.erase(it);
     }
   }
-  std::string make_id() { return IdCodec(kIds).encode(2, server_id, fmt::format("{:06}", ++issued_ids)); }
+  std::string make_id() {
+    std::string nonce = fmt::format("{:06}", ++issued_ids);
+    if (!has_id_config) return "\xea" + name.substr(0, 3) + "-" + nonce;  // of the unroutable rotation
+    return IdCodec(kIds).encode(2, server_id, nonce);
+  }
+  // Reports the end of the connection with this id, as seen at its client's latest address.
+  void end(const std::string& id) { udp.send("\x04MARBLE1 END " + hex(id), clients.at(id).second); }
   // Each answer carries a new connection id of the same worker, as a NEW_CONNECTION_ID frame would.
   void answer(const std::string& id, const std::string& request) {
     std::string next = make_id();
@@ -108,7 +114,7 @@
   };
   UdpSocket udp;
   std::string name, server_id;
-  bool silent = false, busy = false;
+  bool silent = false, busy = false, has_id_config = true;
   int initial_count = 0, answers = 0, issued_ids = 0;
   std::map<std::string, std::pair<std::string, sockaddr_in>>
       clients;  // by connection id: the client's own id and address
@@ -168,7 +174,9 @@
 
 /// The started program with its quic.json, stub workers and clients, and a registry that lists the workers.
 struct QuicTestbed {
-  explicit QuicTestbed(std::vector<std::string> names, int deadline_ms = 1500, rlim_t files = 1024) {
+  // `changes`: keys of quic.json with other values than the usual ones.
+  explicit QuicTestbed(std::vector<std::string> names, int deadline_ms = 1500, rlim_t files = 1024,
+                       const json& changes = json::object()) {
     registry = bound_socket(SOCK_STREAM | SOCK_NONBLOCK);
     ::listen(registry, 8);
     json known = json::array();
@@ -180,7 +188,7 @@
     char path[] = "/tmp/marblehub-quic-XXXXXX";
     ::close(mkstemp(path));
     file = path;
-    std::ofstream(file) << json{
+    json quic = {
         {"enabled", true},
         {"listen", loopback_address_text(port)},
         {"class", "telemetry"},
@@ -189,6 +197,8 @@
         {"calls", 200},
         {"paths", 400},
         {"ids", json::array({{{"rotation", 2}, {"server_id_length", 4}, {"nonce_length", 6}, {"key", ""}}})}};
+    quic.update(changes);
+    std::ofstream(file) << quic;
     json s = settings();
     s["limits"]["probes"] = false;  // the stub workers do not answer probes
     program = std::make_unique<Program>(known, s, port_of(registry), file, "/nonexistent", files);
