Keep a QUIC call pending when its client's short packet comes from another address

Found by reading, as a relative of the crash after an address change; no caller has seen it.

Cause: Front::route_by_id passed every packet of a linked id on to forward, also for a call that a worker's Retry has bound and that is still pending. From another address the flow got another path, while its entry among the pending attempts stayed under the old address and outlived the call.

Evidence: the new test in tests/quic/address_change_test.cpp ends the process on the code before, by the check of the tables ('a pending attempt is not found by its client and worker'); it passes now. The read of freed memory that proxy-v2 would have led to was not shown.

Such packets are now handled as those of a pending call, as long headers were. The path of a pending call is asserted not to be indexed by its client's address.

--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "log/log.h"
+#include "check/check.h"
 #include "quic/initial.h"
 
 namespace marblehub::quic {
@@ -211,7 +211,10 @@
     bool was_pending = flow.attempt_pending;
     if (was_pending) remove_pending_attempt(flow);
     flow.client = datagram.from;
-    if (flow.path) flow.path->client = datagram.from;
+    if (flow.path) {
+      MARBLEHUB_INVARIANT("quic", !flow.path->indexed, "the path of a pending call is indexed by its client");
+      flow.path->client = datagram.from;
+    }
     if (was_pending) add_pending_attempt(flow);
   }
   if (flow.handshake_state && flow.handshake_state->flight.size() < kMaxFlightDatagrams)
@@ -256,7 +259,7 @@
   if (!worker) return unknown_id_.add();
   if (Flow* flow = find_linked(id.id); flow && flow->path) {
     flow->validated = true;
-    return forward(*flow, bytes, datagram);
+    return flow->is_established ? forward(*flow, bytes, datagram) : handle_pending(*flow, datagram, bytes);
   }
   if (workers_.is_unreachable(*worker)) {
     send_stateless_reset(id.id, bytes, datagram.from);
--- a/tests/quic/address_change_test.cpp
+++ b/tests/quic/address_change_test.cpp
@@ -80,4 +80,23 @@
   CHECK(testbed.counter("marblehub_quic_flows") == 2);  // the two that were begun by an Initial
 }
 
+// Guards against a pending attempt that is not found by its client's new address and outlives its call.
+TEST_CASE("a short-header packet from another address leaves a call pending that a Retry has bound") {
+  QuicTestbed testbed({"g-1"}, 700);
+  StubWorker& worker = *testbed.workers[0];
+  worker.sends_retry = true;
+  StubClient& client = testbed.client();
+  client.open();
+  testbed.run(1000, [&] { return !worker.retry_id.empty(); });
+  testbed.run(50);
+  client.id = worker.retry_id;
+  client.change_address();
+  client.request("EARLY");
+  testbed.run(400);
+  CHECK(testbed.program->exit_code() == -1);
+  testbed.run(4000);  // the deadline, and the lifetime of the CONNECTION_CLOSE
+  CHECK(testbed.counter("marblehub_quic_closes_total") == 1);
+  CHECK(testbed.counter("marblehub_quic_flows") == 0);
+}
+
 }  // namespace marblehub::test
--- a/tests/quic/testbed.h
+++ b/tests/quic/testbed.h
@@ -11,6 +11,7 @@
 
 #include "quic/initial.h"
 #include "quic/settings.h"
+#include "quic/validation.h"
 #include "support/program.h"
 
 namespace marblehub::test {
@@ -67,6 +68,11 @@
           udp.send("\x04MARBLE1 BUSY " + hex(first), from);
           continue;
         }
+        if (sends_retry) {
+          retry_id = make_id();
+          udp.send(retry_packet(kVersion1, header->source, retry_id, "token", first), from);
+          continue;
+        }
         if (!open_initial(initial_keys(first, false), *bytes)) continue;
         std::string id = make_id();
         clients[id] = {std::string(header->source), from};
@@ -114,7 +120,8 @@
   };
   UdpSocket udp;
   std::string name, server_id;
-  bool silent = false, busy = false, has_id_config = true;
+  bool silent = false, busy = false, has_id_config = true, sends_retry = false;
+  std::string retry_id;  // the source id of the latest Retry
   int initial_count = 0, answers = 0, issued_ids = 0;
   std::map<std::string, std::pair<std::string, sockaddr_in>>
       clients;  // by connection id: the client's own id and address
