Hold back incomplete lines, so that nobody gets half a line as a whole one

A worker got half a line of a moved client, then FIN.

Cause: bytes were forwarded as they came, so that a client to be moved inside a line already had a part of it; ClientLink::redirect completed the line to make room for MOVE. Such a part can neither be completed nor be followed by MOVE, and a cut without MOVE loses the connection of a server that only writes slowly: so no part may be forwarded.

LineAssembler now holds a line back, both ways, until its end arrives. A sender that ends inside a line has the part passed on before the same end. Lines over 4 KiB are passed on as they come; who must be moved inside one is cut off. The client of a silent worker no longer waits for the rest of a line, since nothing has reached it in 7 s. ClientLink asserts that lines of the balancer's own begin at the start of a line.

--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr std::size_t kMaxTimedMessages = 256;  // bounds the memory for a client that floods messages
-constexpr Time kMaxMidMessagePause = 700'000;   // microseconds that an incomplete message may delay a move
+constexpr Time kMaxMoveDelay = 700'000;         // microseconds that an incomplete message may delay a move
 
 }  // namespace
 
@@ -54,16 +54,15 @@
 
 void Exchange::worker_sent(const StreamChunk& chunk) {
   if (state_ != State::established || !client_) return;
-  client_at_boundary_ = chunk.at_boundary;
-  last_received_at_ = dispatcher_.now();
-  client_->deliver(chunk.bytes);
+  worker_at_boundary_ = chunk.at_boundary;
+  if (!chunk.bytes.empty()) client_->deliver(chunk.bytes);
   for (int i = 0; i < chunk.messages && !unanswered_.empty(); ++i) {
     Time delay = dispatcher_.now() - unanswered_.front();
     unanswered_.erase(unanswered_.begin());
     dispatcher_.message_answered(*this, delay);
     if (state_ != State::established) return;  // the policy has moved this client in response
   }
-  if (move_pending_ && client_at_boundary_) redirect_now(move_reason_);
+  if (move_pending_ && worker_at_boundary_) redirect_now(move_reason_);
 }
 
 void Exchange::worker_load(double load) {
@@ -108,18 +107,13 @@
 }
 
 bool Exchange::move_overdue() const {
-  return move_pending_ && dispatcher_.now() - move_requested_at_ > kMaxMidMessagePause;
+  return move_pending_ && dispatcher_.now() - move_requested_at_ > kMaxMoveDelay;
 }
 
-// Considers only what has been read: after a stall of the process, more may be unread in the socket.
-bool Exchange::stalled_inside_message() const {
-  return !client_at_boundary_ && dispatcher_.now() - last_received_at_ > kMaxMidMessagePause;
-}
-
-// MOVE is sent only at a message boundary, as inside a line it would become part of that line.
+// A message that the worker is sending would be lost by a move; it is awaited for a bounded time.
 void Exchange::redirect(MoveReason reason) {
   if (state_ != State::established || move_pending_) return;
-  if (client_at_boundary_) return redirect_now(reason);
+  if (worker_at_boundary_) return redirect_now(reason);
   move_pending_ = true;
   move_reason_ = reason;
   dispatcher_.watch_messages(*this);
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -49,8 +49,9 @@
   bool awaits_answer() const { return !unanswered_.empty(); }
   /// When the oldest unanswered message was sent; requires awaits_answer().
   Time unanswered_since() const { return unanswered_.front(); }
-  /// The worker has stopped sending inside a message, whether or not a move is pending.
-  bool stalled_inside_message() const;
+  /// The worker has begun a message and not completed it. Considers only what has been read: after a stall of
+  /// the process, more may be unread in the socket.
+  bool inside_message() const { return !worker_at_boundary_; }
 
   // ---- Called by the client's side, which the exchange does not use after client_left.
   /// Forwards bytes to the worker; ignored unless the connection is established.
@@ -66,7 +67,8 @@
   bool may_begin() const;
   /// The worker accepted the call; `receipt` is its answer, forwarded to the client.
   void worker_established(std::string_view receipt);
-  /// Forwards bytes to the client, then carries out a pending move if they end at a message boundary.
+  /// Forwards bytes to the client, then carries out a pending move if they end at a message boundary. Without
+  /// bytes: reports that a message has begun, which the front holds back.
   void worker_sent(const StreamChunk& chunk);
   /// The worker has reported the load of this connection: work per second, in microseconds.
   void worker_load(double load);
@@ -100,10 +102,9 @@
   std::string worker_, address_;                                  // of the latest attempt
   Time attempt_started_at_ = 0, deadline_;
   bool move_pending_ = false;                     // until the stream is at a message boundary
-  bool client_at_boundary_ = true;                // no message to the client is incomplete
+  bool worker_at_boundary_ = true;                // no message of the worker is incomplete
   MoveReason move_reason_ = MoveReason::restart;  // valid if move_pending_
   Time move_requested_at_ = 0;
-  Time last_received_at_ = 0;  // from the worker
   // The time at which each unanswered message was sent to the worker. A vector, since it is mostly empty and
   // an empty deque allocates memory.
   std::vector<Time> unanswered_;
--- a/src/core/message_monitor.cpp
+++ b/src/core/message_monitor.cpp
@@ -52,7 +52,7 @@
   Time waited = now - exchange.unanswered_since();
   if (waited > kMaxUnansweredTime) {
     if (!exchange.move_pending()) findings.newly_moved += 1;
-    (exchange.stalled_inside_message() ? findings.stalled : findings.silent).push_back(exchange.id());
+    (exchange.inside_message() ? findings.stalled : findings.silent).push_back(exchange.id());
   } else if (waited > objective_) {
     findings.late.push_back({exchange.id(), waited});
   }
--- a/src/core/message_monitor.h
+++ b/src/core/message_monitor.h
@@ -26,7 +26,7 @@
   struct Findings {
     std::vector<LateMessage> late;       // unanswered for longer than the objective
     std::vector<std::uint64_t> silent;   // calls whose worker does not respond
-    std::vector<std::uint64_t> stalled;  // as silent, or with a move overdue, in an incomplete message
+    std::vector<std::uint64_t> stalled;  // the same inside a message, or with a move overdue
     std::size_t newly_moved = 0;         // silent and stalled ones without a pending move
   };
 
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -32,11 +32,12 @@
 /// pool; restart: this balancer restarts.
 enum class MoveReason { draining, down, overwhelmed, late, silent, balance, routes, restart };
 
-/// Part of the byte stream of an established connection.
+/// Part of the byte stream of an established connection. Fronts hold back an incomplete message, so that
+/// either side can be closed at any time without a part of one.
 struct StreamChunk {
-  std::string_view bytes;
+  std::string_view bytes;   // may be empty
   int messages = 0;         // number of messages that end in it
-  bool at_boundary = true;  // no message is incomplete after it
+  bool at_boundary = true;  // no message is incomplete after it, nor held back
 };
 
 /// The client's side of a call, implemented by a front.
@@ -53,7 +54,7 @@
   // Called while the connection is established.
   virtual void deliver(std::string_view bytes) = 0;  // sends the worker's bytes to the client
   virtual void hold(bool on) = 0;  // stops or resumes reading from the client: the worker is blocked
-  virtual void redirect() = 0;     // requests the client to reconnect, and closes
+  virtual void redirect() = 0;     // requests the client to reconnect, and closes; never completes a message
   virtual void ended(CloseKind close_kind) = 0;  // the worker's side has closed
 };
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "check/check.h"
 #include "log/log.h"
 
 namespace marblehub::net {
@@ -196,7 +197,7 @@
 bool ClientLink::answer_ping() {
   if (++pings_ > kMaxPings) return false;
   listener_.pings_.add();
-  send_bytes("PONG\r\n");
+  send_line("PONG\r\n");
   return true;
 }
 
@@ -264,14 +265,10 @@
 }
 
 void ClientLink::forward(std::string_view bytes) {
-  core::StreamChunk chunk{bytes, 0, true};
-  for (std::string_view rest = bytes; !rest.empty();) {
-    LineTracker::Segment segment = line_tracker_.next(rest);
-    chunk.messages += segment.ended;
-    rest.remove_prefix(segment.length);
-  }
-  chunk.at_boundary = line_tracker_.at_line_start();
-  if (exchange_) exchange_->client_sent(chunk);
+  std::string_view lines = lines_.add(bytes);
+  if (lines.empty() || !exchange_) return;
+  auto count = static_cast<int>(std::count(lines.begin(), lines.end(), '\n'));
+  exchange_->client_sent({lines, count, lines_.at_line_start()});
 }
 
 void ClientLink::drained() {
@@ -281,7 +278,10 @@
   }
 }
 
+// A client that ends inside a line: its worker gets the part as it came, and then the same end.
 void ClientLink::ended_by_peer(CloseKind ending) {
+  std::string rest = lines_.take_rest();
+  if (!rest.empty() && exchange_) exchange_->client_sent({rest, 0, false});
   if (exchange_) exchange_->client_left(ending);
   exchange_ = nullptr;
   close(ending);
@@ -317,11 +317,12 @@
   if (stream_) stream_->set_reading(!on);
 }
 
-// Ends a line that the worker has left incomplete, so that MOVE is on a line of its own.
+// Inside an overlong line MOVE would become a part of it, and a line end would turn a part of the line into a
+// whole one: such a client is cut off.
 void ClientLink::redirect() {
   exchange_ = nullptr;
-  std::string_view line_end = last_byte_sent_ == '\n' ? "" : last_byte_sent_ == '\r' ? "\n" : "\r\n";
-  send_and_close(std::string(line_end) + "MOVE\r\n");
+  if (last_byte_sent_ != '\n') return close(CloseKind::aborted);
+  send_and_close("MOVE\r\n");
 }
 
 void ClientLink::ended(CloseKind ending) {
@@ -329,6 +330,12 @@
   close(ending);
 }
 
+// Sends a line of the balancer's own. It must not become a part of a worker's line, nor the end of one.
+void ClientLink::send_line(std::string_view line) {
+  MARBLEHUB_INVARIANT("net", last_byte_sent_ == '\n', "a line of the balancer inside one of the worker");
+  send_bytes(line);
+}
+
 void ClientLink::send_bytes(std::string_view bytes) {
   listener_.bytes_out_.add(static_cast<double>(bytes.size()));
   last_byte_sent_ = bytes.back();
@@ -337,7 +344,7 @@
 
 void ClientLink::send_and_close(std::string_view line, void (*close_stream)(std::unique_ptr<Stream>)) {
   if (!stream_) return;
-  send_bytes(line);
+  send_line(line);
   end(close_stream);
 }
 
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -109,6 +109,7 @@
   void evict();
   void stop_awaiting_request();
   void forward(std::string_view bytes);
+  void send_line(std::string_view line);
   void send_bytes(std::string_view bytes);
   void send_and_close(std::string_view line, void (*close_stream)(std::unique_ptr<Stream>) = Stream::finish);
   void close(CloseKind ending);
@@ -120,8 +121,8 @@
   core::Exchange* exchange_ = nullptr;
   bool request_received_ = false, established_ = false, blocked_reported_ = false;
   char last_byte_sent_ = '\n';
-  std::string input_;  // received, but not yet a complete line
-  LineTracker line_tracker_;
+  std::string input_;           // received, but not yet a complete line
+  LineAssembler lines_;         // from the client, once established
   TimerWatch request_timeout_;  // runs from the connect to the request
   int pings_ = 0;
   std::string id_;  // from the request on
--- a/src/net/lines.cpp
+++ b/src/net/lines.cpp
@@ -8,7 +8,6 @@
 namespace marblehub::net {
 namespace {
 
-constexpr std::size_t kMaxPrefixBytes = 64;   // of a forwarded line, kept by LineTracker
 constexpr std::size_t kMaxTokenLength = 128;  // of an id or a key
 
 // Start and length of the value of name=value in the line's last word, whose fields are separated by commas.
@@ -115,18 +114,21 @@
   return report;
 }
 
-LineTracker::Segment LineTracker::next(std::string_view bytes) {
-  std::size_t end = bytes.find('\n');
-  bool ended = end != std::string_view::npos;
-  std::size_t length = ended ? end + 1 : bytes.size();
-  if (prefix_.size() < kMaxPrefixBytes)
-    prefix_.append(bytes.substr(0, std::min(length, kMaxPrefixBytes - prefix_.size())));
-  line_length_ += length;
-  if (ended) {
-    last_line_ = std::exchange(prefix_, {});
-    line_length_ = 0;
-  }
-  return {length, ended};
+std::string_view LineAssembler::add(std::string_view bytes) {
+  returned_.clear();
+  const std::size_t last_line_end = bytes.rfind('\n');
+  std::size_t length = last_line_end == std::string_view::npos ? 0 : last_line_end + 1;
+  line_length_ = (length > 0 ? 0 : line_length_) + bytes.size() - length;
+  if (inside_overlong_line()) length = bytes.size();
+  const std::string_view passed = bytes.substr(0, length), rest = bytes.substr(length);
+  if (!passed.empty() && !held_.empty()) returned_ = std::exchange(held_, {}).append(passed);
+  held_.append(rest);
+  return returned_.empty() ? passed : std::string_view(returned_);
+}
+
+std::string LineAssembler::take_rest() {
+  line_length_ = 0;
+  return std::exchange(held_, {});
 }
 
 }  // namespace marblehub::net
--- a/src/net/lines.h
+++ b/src/net/lines.h
@@ -43,23 +43,24 @@
 /// The load fields at the end of a worker's answer; a load of -1 if there are none.
 core::LoadReport parse_load_report(std::string_view line);
 
-/// Finds the line ends in a forwarded byte stream, however it is split into chunks.
-class LineTracker {
+/// Holds back an incomplete line of a forwarded byte stream until its end arrives, so that the receiver can
+/// be moved or closed at any time without having a part of a line. A line longer than kMaxLineBytes, which
+/// the protocol forbids, is passed on in parts as they arrive.
+class LineAssembler {
  public:
-  /// The bytes up to and including the next line end, or all bytes if there is none.
-  struct Segment {
-    std::size_t length;
-    bool ended;
-  };
-  /// Consumes the next segment of `bytes`; the caller removes its length from the front.
-  Segment next(std::string_view bytes);
+  /// Adds received bytes. Returns what can be forwarded now: whole lines, or parts of an overlong one; empty
+  /// while a line is held back. Valid until the next call.
+  std::string_view add(std::string_view bytes);
+  /// Removes and returns the part of a line that is held back, for a sender that has ended inside it.
+  std::string take_rest();
   bool at_line_start() const { return line_length_ == 0; }  ///< whether no line is incomplete
-  /// The start of the most recently completed line, long enough for its verb and a number.
-  const std::string& last_line() const { return last_line_; }
+  /// Whether the start of the incomplete line has been passed on, since the line is overlong.
+  bool inside_overlong_line() const { return line_length_ > kMaxLineBytes; }
 
  private:
-  std::string prefix_, last_line_;
-  std::size_t line_length_ = 0;
+  std::string held_;             // the start of an incomplete line
+  std::string returned_;         // by the last call of add(), where it begins with held bytes
+  std::size_t line_length_ = 0;  // of the incomplete line, with the parts already passed on
 };
 
 }  // namespace marblehub::net
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -80,7 +80,10 @@
   void ended(CloseKind ending) override {
     connect_timer_.stop();
     if (!exchange_) return;
-    if (established_) return end_attempt(end_outcome_, ending);
+    if (established_) {
+      forward_rest();
+      return end_attempt(end_outcome_, ending);
+    }
     if (stream_->failed_locally())
       return end_attempt(Outcome::not_sent, ending);  // a local failure, not the worker's
     end_attempt(request_sent() ? Outcome::reset : Outcome::connect_failed, ending);
@@ -123,24 +126,38 @@
   }
 
   void forward(std::string_view bytes) {
-    while (!bytes.empty() && exchange_) {
-      LineTracker::Segment segment = line_tracker_.next(bytes);
-      core::StreamChunk chunk{bytes.substr(0, segment.length), 0, line_tracker_.at_line_start()};
-      bytes.remove_prefix(segment.length);
-      if (segment.ended) {
-        std::string_view verb = verb_of(line_tracker_.last_line());
-        if (verb == "LOAD") {
-          handle_load(line_tracker_.last_line());
-        } else if (verb == "BYE" || verb == "MOVE" || verb == "ERR") {
-          end_outcome_ = verb == "BYE"    ? Outcome::served
-                         : verb == "MOVE" ? Outcome::cancelled
-                                          : Outcome::error;
-        } else if (verb != "UP" && verb != "BUSY") {  // UP and BUSY here: a late second answer to the request
-          chunk.messages = 1;
-        }
-      }
-      exchange_->worker_sent(chunk);
+    const bool continues_overlong_line = lines_.inside_overlong_line();
+    std::string_view lines = lines_.add(bytes);
+    for (bool whole = !continues_overlong_line; !lines.empty() && exchange_; whole = true) {
+      std::size_t end = lines.find('\n');
+      std::string_view line = lines.substr(0, end == std::string_view::npos ? end : end + 1);
+      lines.remove_prefix(line.size());
+      forward_line(line, whole);
     }
+    if (exchange_ && !lines_.at_line_start()) exchange_->worker_sent({{}, 0, false});
+  }
+
+  // Forwards a line; not `whole`: the last part of an overlong one, whose start has been forwarded before.
+  void forward_line(std::string_view line, bool whole) {
+    const bool ended = line.ends_with('\n');
+    core::StreamChunk chunk{line, ended ? 1 : 0, ended};
+    std::string_view verb = whole && ended ? verb_of(line) : "";
+    if (verb == "LOAD") {
+      chunk.messages = 0;
+      handle_load(line);
+    } else if (verb == "BYE" || verb == "MOVE" || verb == "ERR") {
+      chunk.messages = 0;
+      end_outcome_ = verb == "BYE" ? Outcome::served : verb == "MOVE" ? Outcome::cancelled : Outcome::error;
+    } else if (verb == "UP" || verb == "BUSY") {  // a late second answer to the request
+      chunk.messages = 0;
+    }
+    exchange_->worker_sent(chunk);
+  }
+
+  // The worker has ended inside a line: its client gets the part as it came, and then the same end.
+  void forward_rest() {
+    std::string rest = lines_.take_rest();
+    if (!rest.empty() && exchange_) exchange_->worker_sent({rest, 0, false});
   }
 
   void handle_load(std::string_view line) {
@@ -163,7 +180,7 @@
   std::unique_ptr<Stream> stream_;
   TimerWatch connect_timer_;
   std::string input_;
-  LineTracker line_tracker_;
+  LineAssembler lines_;
   Outcome end_outcome_ = Outcome::reset;  // the outcome if the connection ends now
   bool request_written_ = false, established_ = false, blocked_reported_ = false;
 };
--- a/tests/support/exchange/steps.cpp
+++ b/tests/support/exchange/steps.cpp
@@ -110,6 +110,10 @@
     REQUIRE(!conn(who).flood_backlog.empty());
     return;
   }
+  if (verb == "partial") {
+    wait_until([&] { return conn(who).received == rest; }, kStepTimeout);
+    return;
+  }
   if (verb == "narrow") return connect_narrow(who);
   if (verb == "refused") return require_refused();
   if (verb == "fill") return fill(conn(who), rest + "\r\n");
--- a/tests/support/exchange_player.h
+++ b/tests/support/exchange_player.h
@@ -20,6 +20,7 @@
 //   c1 held             part of its flood must be unsent
 //   c1 takes N          the other side's flood of N lines must arrive completely and in order
 //   c1 ends fin|rst [N] the program must close the connection this way within N ms
+//   c1 partial TEXT     exactly TEXT must be received and not consumed, without a line end; it stays unconsumed
 //   c1 discards fin|rst [N] the same, whatever was received before
 //   crowd N TEXT        N further clients connect and send TEXT, or nothing without TEXT
 //   W closed | W mute   refuses connections; does not answer probes
