Let a QUIC path carry several connections, and be idle only when it carries none

Cause: both flows used one path, but Path::flow named the one attached last. When that one ended, the path went on the list of idle ones and was freed, while the other flow kept pointing to it.

A path now links all flows that it carries. A closed port fails each of them, control messages find each, and dropping a path unlinks them.

--- a/src/quic/flow.cpp
+++ b/src/quic/flow.cpp
@@ -26,7 +26,7 @@
   ~Attempt() override {
     if (flow_.is_established || !flow_.path) return;
     flow_.front.remove_pending_attempt(flow_);
-    flow_.front.drop_path(*std::exchange(flow_.path, nullptr));
+    flow_.front.drop_path(*flow_.path);
   }
   // Reports the failure in the next iteration of the event loop.
   void fail(Outcome why) {
@@ -136,12 +136,12 @@
   }
   // The worker is not at fault for a lack of descriptors or table entries in the balancer, nor for a client
   // bound to another worker by its Retry.
-  path = bound_by_retry ? nullptr : front.make_path(client, *target);
-  if (!path) {
+  Path* attempt_path = bound_by_retry ? nullptr : front.make_path(client, *target);
+  if (!attempt_path) {
     attempt->fail(Outcome::not_sent);
     return attempt;
   }
-  front.attach(*this, *path);
+  front.attach(*this, *attempt_path);
   front.add_pending_attempt(*this);
   for (const std::string& datagram : handshake_state->flight) front.send_handshake_datagram(*this, datagram);
   return attempt;
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -53,7 +53,9 @@
 
   WorkerTable::Worker& worker;
   Endpoint client;
-  Flow* flow = nullptr;                          // the call or connection that it carries, if known
+  // The call or connection that it carries, if known; of several from one client address, the one attached
+  // last. They are linked by Flow::next_on_path.
+  Flow* flow = nullptr;
   std::unique_ptr<Upstream> dedicated_upstream;  // forwarding socket only
   Time last_used = 0;
   bool indexed = false;  // in the front's index by client address and worker
@@ -115,6 +117,7 @@
   Endpoint client;
   core::Exchange* exchange = nullptr;
   Path* path = nullptr;  // to the worker of the connection or of the pending attempt
+  Flow *next_on_path = nullptr, *previous_on_path = nullptr;  // other connections on the same path
   std::vector<ConnectionId> linked_ids;
   bool is_established = false, finished = false, validated = false, attempt_pending = false;
   bool routed_by_address = false;  // begun with an unroutable id; it is identified by the client address
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -118,6 +118,7 @@
   void remove_from_idle_list(Path& path);
   void attach(Flow& flow, Path& path);
   void detach(Flow& flow);
+  static void unlink_from_path(Flow& flow);
   void link_id(Flow& flow, std::string_view id);
   Flow* find_linked(std::string_view id);
   void adopt(Path& path);
@@ -128,6 +129,8 @@
   // The first inconsistency of the tables; empty if there is none. Linear in their size.
   std::string table_fault() const;
   std::string flow_fault(const FlowKey& key, const Flow& flow) const;
+  std::string path_fault(const Path& path) const;
+  std::string idle_list_fault() const;
 
   net::Loop& loop_;
   core::Dispatcher& dispatcher_;
--- a/src/quic/tables.cpp
+++ b/src/quic/tables.cpp
@@ -85,9 +85,8 @@
 
 // Removes a path from all tables and closes its dedicated socket.
 void Front::drop_path(Path& path) {
+  while (path.flow) unlink_from_path(*path.flow);
   remove_from_idle_list(path);
-  if (path.flow && path.flow->path == &path) path.flow->path = nullptr;
-  path.flow = nullptr;
   if (path.dedicated_upstream) {
     std::erase(unflushed_, path.dedicated_upstream.get());
     path.dedicated_upstream->close();
@@ -117,23 +116,35 @@
   if (!oldest_) oldest_ = &path;
 }
 
+// Several connections of one client address share a path, which is idle once the last of them is detached.
 void Front::attach(Flow& flow, Path& path) {
-  if (flow.path && flow.path != &path) detach(flow);
+  if (flow.path == &path) return;
+  detach(flow);
   remove_from_idle_list(path);
   flow.path = &path;
   flow.client = path.client;
-  path.flow = &flow;
+  flow.next_on_path = std::exchange(path.flow, &flow);
+  if (flow.next_on_path) flow.next_on_path->previous_on_path = &flow;
 }
 
 // The old path still forwards packets in flight, until it is idle.
 void Front::detach(Flow& flow) {
-  Path* path = std::exchange(flow.path, nullptr);
-  if (!path || path->flow != &flow) return;
-  path->flow = nullptr;
+  Path* path = flow.path;
+  if (!path) return;
+  unlink_from_path(flow);
+  if (path->flow) return;
   path->client_datagrams = path->worker_datagrams = 0;  // a next connection on it is adopted on new evidence
   touch(*path);
 }
 
+void Front::unlink_from_path(Flow& flow) {
+  Flow* next = std::exchange(flow.next_on_path, nullptr);
+  Flow* previous = std::exchange(flow.previous_on_path, nullptr);
+  Path& path = *std::exchange(flow.path, nullptr);
+  (previous ? previous->next_on_path : path.flow) = next;
+  if (next) next->previous_on_path = previous;
+}
+
 void Front::add_pending_attempt(Flow& flow) {
   pending_attempts_.emplace(path_key(flow.path->client, flow.path->worker), &flow);
   flow.attempt_pending = true;
--- a/src/quic/worker_side.cpp
+++ b/src/quic/worker_side.cpp
@@ -272,7 +272,8 @@
     for (Flow* candidate : pending_attempts(upstream, client))
       if (candidate->has_initial_destination(id)) flow = candidate;
   Path* path = upstream.dedicated_path ? upstream.dedicated_path : find_path(client, upstream.worker);
-  if (!flow && path && path->flow && path->flow->has_initial_destination(id)) flow = path->flow;
+  for (Flow* on_path = path ? path->flow : nullptr; on_path && !flow; on_path = on_path->next_on_path)
+    if (on_path->has_initial_destination(id)) flow = on_path;
   return flow && flow->path && &flow->path->worker == &upstream.worker ? flow : nullptr;
 }
 
@@ -325,17 +326,16 @@
   WorkerTable::Worker& worker = upstream.worker;
   if (!worker.port_closed) log::info("quic: the port of {} is closed", worker.name);
   workers_.mark_port_closed(worker, loop_.now());
+  std::vector<Flow*> affected;  // only the sweep frees flows
   if (upstream.dedicated_path) {
-    Flow* flow = upstream.dedicated_path->flow;
-    if (flow && flow->path == upstream.dedicated_path)
-      return fail_call(*flow, flow->is_established ? Outcome::reset : Outcome::connect_failed);
-    return;
+    for (Flow* flow = upstream.dedicated_path->flow; flow; flow = flow->next_on_path)
+      affected.push_back(flow);
+  } else {
+    for (auto& [key, flow] : flows_)
+      if (flow->path && &flow->path->worker == &worker) affected.push_back(flow.get());
   }
-  std::vector<std::shared_ptr<Flow>> affected;
-  for (auto& [key, flow] : flows_)
-    if (flow->path && &flow->path->worker == &worker) affected.push_back(flow);
   // Without a reply the worker has not seen the call; an established connection has ended with the worker.
-  for (auto& flow : affected)
+  for (Flow* flow : affected)
     if (flow->path) fail_call(*flow, flow->is_established ? Outcome::reset : Outcome::connect_failed);
 }
 
--- a/tests/quic/address_change_test.cpp
+++ b/tests/quic/address_change_test.cpp
@@ -99,4 +99,47 @@
   CHECK(testbed.counter("marblehub_quic_flows") == 0);
 }
 
+// Guards against packets that reach a worker which their id does not name: a path that one of two connections
+// still used was taken for idle when the other ended, and its memory became another client's path.
+TEST_CASE("of two connections on one socket the other goes on when one ends after a change of address") {
+  const int max_paths = 8, idle_ms = 2000;
+  QuicTestbed testbed({"g-1", "g-2"}, 1500, 1024, {{"paths", max_paths}, {"idle_ms", idle_ms}});
+  StubClient &reports = testbed.client(), &commands = testbed.client();
+  reports.share_socket(commands);
+  auto up = [&] { return reports.established_count + commands.established_count == 2; };
+  auto both_at_one_worker = [&] { return testbed.worker_of(reports) == testbed.worker_of(commands); };
+  reports.open();
+  testbed.run(2000, [&] { return reports.established_count == 1; });
+  commands.open();
+  testbed.run(2000, up);
+  for (int tries = 0; tries < 20 && !both_at_one_worker();
+       ++tries) {  // a connection at the other worker is left alone
+    commands.renew(1000 + tries);
+    commands.open();
+    testbed.run(2000, up);
+  }
+  REQUIRE(both_at_one_worker());
+  StubWorker& worker = *testbed.worker_of(commands);
+  reports.change_address();
+  check_answered(testbed, commands, "FROM THE NEW ADDRESS");
+  check_answered(testbed, reports, "FROM THE NEW ADDRESS");
+  SECTION("the one attached last ends") { worker.end(reports.id); }
+  SECTION("the one attached first ends") {
+    worker.end(commands.id);
+    std::swap(reports.id, commands.id);
+    std::swap(reports.source, commands.source);
+  }
+  testbed.run(400);
+  // Others evict all paths that are idle, and get the memory of paths.
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < max_paths; ++i) testbed.client().open();
+    testbed.run(300);
+  }
+  check_answered(testbed, commands, "AFTER THE OTHER'S END");
+  testbed.run(idle_ms / 2);
+  check_answered(testbed, commands, "AGAIN");
+  CHECK(testbed.program->exit_code() == -1);
+  CHECK(testbed.counter("marblehub_quic_unknown_ids_total") == 0);
+}
+
 }  // namespace marblehub::test
--- a/tests/quic/testbed.h
+++ b/tests/quic/testbed.h
@@ -131,9 +131,13 @@
 
 /// A client that sends Initials and short-header requests and counts answers and closes on all its addresses.
 struct StubClient {
-  explicit StubClient(int number, int port) : balancer(loopback(port)) {
+  explicit StubClient(int number, int port) : balancer(loopback(port)) { renew(number); }
+  // Begins anew, with ids of its own for this number.
+  void renew(int number) {
     source = fmt::format("c{:07}", number);
     first = fmt::format("\xe0{:07}", number);  // 0xe0: the rotation of unroutable ids
+    id.clear();
+    established_count = 0;
   }
   void open() {
     std::string frames = std::string("\x06\x00\x40\x05hello", 9) + std::string(1200, '\0');
@@ -141,7 +145,14 @@
   }
   void change_address() {
     previous_sockets.push_back(std::move(udp));  // still read, to detect answers to it
-    udp = std::make_unique<UdpSocket>();
+    udp = std::make_shared<UdpSocket>();
+    if (sibling) sibling->udp = udp;
+  }
+  // Carries the other connection on this client's socket as well.
+  void share_socket(StubClient& other) {
+    other.udp = udp;
+    other.sibling = this;
+    sibling = &other;
   }
   void request(const std::string& message) {
     udp->send("\x40" + id + message, balancer);
@@ -150,30 +161,36 @@
   void process() {
     auto process_socket = [this](const UdpSocket& from) {
       while (auto bytes = from.receive()) {
-        auto header = parse(*bytes);
-        if (!header) continue;
-        if (header->type == PacketType::initial) {
-          auto frames = open_initial(initial_keys(first, true), *bytes);
-          if (!frames) continue;
-          if ((*frames)[0] == '\x1c') {
-            close_count += 1;
-            close_frames = *frames;
-          } else {
-            established_count += 1;
-            id = header->source;
-          }
-        } else if (header->type == PacketType::short_header) {
-          next_id = bytes->substr(9, 11);
-          answers[bytes->substr(20)] += 1;
-        }
+        if (!receive(*bytes) && sibling) sibling->receive(*bytes);
       }
     };
     process_socket(*udp);
     for (auto& socket : previous_sockets) process_socket(*socket);
   }
+  // Returns whether the datagram is of this connection.
+  bool receive(const std::string& bytes) {
+    auto header = parse(bytes);
+    if (!header || !header->destination.starts_with(source)) return false;
+    if (header->type == PacketType::initial) {
+      auto frames = open_initial(initial_keys(first, true), bytes);
+      if (!frames) return false;
+      if ((*frames)[0] == '\x1c') {
+        close_count += 1;
+        close_frames = *frames;
+      } else {
+        established_count += 1;
+        id = header->source;
+      }
+    } else if (header->type == PacketType::short_header) {
+      next_id = bytes.substr(9, 11);
+      answers[bytes.substr(20)] += 1;
+    }
+    return true;
+  }
   sockaddr_in balancer;
-  std::unique_ptr<UdpSocket> udp = std::make_unique<UdpSocket>();
-  std::vector<std::unique_ptr<UdpSocket>> previous_sockets;
+  std::shared_ptr<UdpSocket> udp = std::make_shared<UdpSocket>();  // may be shared with `sibling`
+  std::vector<std::shared_ptr<UdpSocket>> previous_sockets;
+  StubClient* sibling = nullptr;  // another connection on the same socket
   std::string source, first, id, next_id, close_frames;
   int established_count = 0, close_count = 0, request_count = 0;
   std::map<std::string, int> answers;
@@ -225,6 +242,12 @@
     clients.push_back(std::make_unique<StubClient>(static_cast<int>(clients.size()) + 1, port));
     return *clients.back();
   }
+  // The worker that holds this client's connection; null if none does.
+  StubWorker* worker_of(const StubClient& client) {
+    for (auto& worker : workers)
+      if (worker->clients.count(client.id)) return worker.get();
+    return nullptr;
+  }
   void run(
       int ms, const std::function<bool()>& done = [] { return false; }) {
     for (std::int64_t end = now_ms() + ms; now_ms() < end && !done(); usleep(500)) {
