--- a/src/core/message_monitor.h
+++ b/src/core/message_monitor.h
@@ -1,5 +1,5 @@
 /// Measures the response times of messages on established connections, and detects connections whose worker
-/// stopped responding.
+/// stopped responding. On sockets nothing else tells the policy that messages are slow.
 #pragma once
 
 #include <cstdint>
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -160,7 +160,8 @@
   next_call_timer_.start(0);
 }
 
-// After a stall of the process the answer may be unread in the socket.
+// After a stall of the process the answer may be unread in the socket. It counts as told since it was
+// written.
 void RegistryWatch::on_call_timeout() {
   read_now();
   if (call_pending_ && !call_timer_.active()) fail("no answer in time");
--- a/src/policy/discovery/endpoint_list.h
+++ b/src/policy/discovery/endpoint_list.h
@@ -1,4 +1,4 @@
-/// Service discovery.
+/// Service discovery: which backends there are, which have restarted, and when to request the list again.
 #pragma once
 
 #include "policy/context.h"
--- a/src/policy/health/delay_signals.h
+++ b/src/policy/health/delay_signals.h
@@ -1,4 +1,4 @@
-/// Message delays of the backends.
+/// Message delays of the backends, as measured by this balancer and as derived from load reports.
 #pragma once
 
 #include <algorithm>
--- a/src/policy/health/prober.cpp
+++ b/src/policy/health/prober.cpp
@@ -7,6 +7,8 @@
 namespace marblehub::policy {
 namespace {
 
+// As the design has it: a probe every five seconds, the mean of the last twenty, down after three misses in a
+// row.
 constexpr Time kProbeInterval = 5 * kSecond;
 constexpr std::size_t kLatencyWindow = 20;  // samples
 constexpr int kMissesUntilDown = 3;
--- a/src/policy/load_levels.h
+++ b/src/policy/load_levels.h
@@ -7,7 +7,7 @@
 /// Load below which a backend has headroom.
 inline constexpr double kHeadroomLoad = 0.6;
 
-/// Delay from which connections may migrate to other backends.
+/// Delay, as a part of the latency objective, from which connections may migrate to other backends.
 inline constexpr double kMigrationThreshold = 0.8;
 
 /// Maximum number of backends of mean scale used by one group.
--- a/src/policy/migration/migration.h
+++ b/src/policy/migration/migration.h
@@ -1,4 +1,5 @@
-/// Migration of established connections.
+/// Migration of established connections. A connection earns nothing on a backend that is down, or whose
+/// messages come later than the objective.
 #pragma once
 
 #include <cstdint>
--- a/src/policy/placement/group_affinity.cpp
+++ b/src/policy/placement/group_affinity.cpp
@@ -9,7 +9,7 @@
 namespace marblehub::policy {
 namespace {
 
-// Backends per group, as a multiple of its share of the connections.
+// Backends per group, as a multiple of its share of the connections: other balancers use the backends too.
 constexpr double kGroupWidth = 2;
 constexpr double kLateFraction = 0.7;  // of the objective: a higher delay moves a backend to the end
 constexpr double kFullLoad = 0.95;     // load from which the availability is at its minimum
--- a/src/policy/placement/group_affinity.h
+++ b/src/policy/placement/group_affinity.h
@@ -1,4 +1,5 @@
-/// Group affinity.
+/// Group affinity: the backends that connections of one group keep to. A backend pays for a group once,
+/// whether it holds one of its connections or all.
 #pragma once
 
 #include <vector>
--- a/src/policy/placement/selector.h
+++ b/src/policy/placement/selector.h
@@ -1,4 +1,4 @@
-/// Backend selection.
+/// Backend selection by the design's blend of active connections, recent connections and latency.
 #pragma once
 
 #include <vector>
--- a/src/policy/random_source.h
+++ b/src/policy/random_source.h
@@ -1,4 +1,4 @@
-/// Random numbers of the balancer.
+/// Random numbers of the balancer. The same seed gives the same decisions.
 #pragma once
 
 #include <cstdint>
--- a/src/policy/requests/admission.h
+++ b/src/policy/requests/admission.h
@@ -1,4 +1,5 @@
-/// Admission control.
+/// Admission control. When the fleet as a whole is full, every further connection makes all of them late, so
+/// fewer are admitted.
 #pragma once
 
 #include "policy/context.h"
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -270,7 +270,7 @@
     if (!request.in_flight && now >= request.report_wait_until)
       place(id, request);
     else if (now >= request.deadline - kSweepInterval / 4)
-      reject_or_fail(id, request);  // the result of the attempt is overdue
+      reject_or_fail(id, request);  // the result of the attempt is overdue, and the client must be answered
   }
 }
 
--- a/src/policy/requests/request_handler.h
+++ b/src/policy/requests/request_handler.h
@@ -1,4 +1,5 @@
-/// Request lifecycle.
+/// Request lifecycle: admitted, placed, retried, answered, and counted at its backend while its connection is
+/// open.
 #pragma once
 
 #include "policy/context.h"
--- a/src/policy/requests/retry_rules.h
+++ b/src/policy/requests/retry_rules.h
@@ -1,4 +1,5 @@
-/// Rules for retries.
+/// Rules for retries: which further attempts a request may have depends on what a second effect of it would
+/// do.
 #pragma once
 
 #include "policy/context.h"
--- a/src/policy/requests/setup_limiter.h
+++ b/src/policy/requests/setup_limiter.h
@@ -1,4 +1,5 @@
-/// Limits concurrent connection setups.
+/// Limits concurrent connection setups, so that congestion of a resource that all of them share is not made
+/// worse.
 #pragma once
 
 #include <map>
--- a/src/policy/state/backend_table.h
+++ b/src/policy/state/backend_table.h
@@ -1,4 +1,4 @@
-/// All backends that have appeared in the endpoint list.
+/// All backends that have appeared in the endpoint list. It never shrinks, so that indexes stay valid.
 #pragma once
 
 #include <string>
--- a/src/policy/state/request.h
+++ b/src/policy/state/request.h
@@ -1,4 +1,4 @@
-/// State of one request.
+/// State of one request, from its arrival until its connection has ended.
 #pragma once
 
 #include <algorithm>
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -131,7 +131,8 @@
     flow->validated = true;                             // only a client that received a reply knows it
     return flow->is_established ? forward(*flow, bytes, datagram) : handle_pending(*flow, datagram, bytes);
   }
-  // The policy selects the worker of a new call, whatever server id the client's first Initial encodes.
+  // The policy selects the worker of a new call, whatever server id the client's first Initial encodes: that
+  // worker may be draining.
   if (header->type == PacketType::initial) return handle_initial(*header, datagram, bytes);
   if (header->type == PacketType::zero_rtt) return buffer_early_data(*header, bytes);
   if (auto id = ids_.codec().decode(header->destination, true)) return route_by_id(*id, bytes, datagram);
--- a/src/rebalance/progress_watch.h
+++ b/src/rebalance/progress_watch.h
@@ -1,4 +1,4 @@
-/// Pauses moves that do not narrow the gap.
+/// Pauses moves that do not narrow the gap, as its cause is then not one that moves can remedy.
 #pragma once
 
 #include "marblehub/policy.h"
