Let the flood of a worker end with a whole line in the test of a client that does not read

The test sent its lines anew from the start after a part was taken, so that its stream could end inside a line. The part is held back as the rule for half lines wants it. The worker now completes its last line once the program reads again; the check that every octet arrives is the same, and the test fails as well if the line can't be completed.

--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -36,13 +36,20 @@
   char buffer[65536];
   REQUIRE(::recv(call, buffer, sizeof buffer, 0) > 0);
   ::send(call, "UP r\r\n", 6, 0);
-  std::string block = std::string(1022, 'x') + "\r\n";
+  const std::string line = std::string(1022, 'x') + "\r\n";
+  std::string unsent;  // of the line begun
   std::size_t sent = 0, got = 0;
+  auto send_some = [&] {
+    ssize_t n = ::send(call, unsent.data(), unsent.size(), MSG_DONTWAIT);
+    if (n <= 0) return false;
+    sent += static_cast<std::size_t>(n);
+    unsent.erase(0, static_cast<std::size_t>(n));
+    return true;
+  };
   for (std::int64_t quiet_since = now_ms();
        now_ms() - quiet_since < 500;) {  // until the program stops reading
-    ssize_t n = ::send(call, block.data(), block.size(), MSG_DONTWAIT);
-    if (n <= 0) continue;
-    sent += static_cast<std::size_t>(n);
+    if (unsent.empty()) unsent = line;
+    if (!send_some()) continue;
     quiet_since = now_ms();
     REQUIRE(sent < 64u << 20);
   }
@@ -51,7 +58,9 @@
     ssize_t n = ::recv(client, buffer, sizeof buffer, 0);
     if (n <= 0) break;
     got += static_cast<std::size_t>(n);
+    if (!unsent.empty()) send_some();  // the end of the last line, without which it is held back
   }
+  CHECK(unsent.empty());
   CHECK(got == sent + 6);
   ::close(client);
   ::close(call);
