Show that connections open at a draining server are lost at a run's start

Cause: an at= line goes by the same way as a new call, and is refused 150 ms after its server was listed as draining. Change: case 6 with its claim and script; the stand-ins end with the test, and exit codes tell a broken rule from a test that fails.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,6 @@
-"""A planned restart answers BUSY to requests of an unsafe class that a server has taken and run."""
+"""Connections that were open at a draining server before the run are answered ERR and never reach that server."""
 import os
-import signal
+import random
 import sys
 import threading
 import time
@@ -9,94 +9,50 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import stage  # noqa: E402
 
-DEADLINE_MS = 700
-# When a client connects after SIGTERM, and how long its line's second piece comes after the first; 0: it comes whole.
-ARRIVALS = [(0.365 + 0.0025 * i, 0) for i in range(10)] + [(0.30 + 0.01 * i, 0.13) for i in range(8)]
+CLIENTS, AT_THE_LAST = 18, 6  # of the clients, so many had their connection at the last of the nine servers
 
 
 def case(record, folder, trouble, balancers):
-    taken, runs = {}, {}  # the server that took a request, by its id; where a command was run, by its key
-    lock = threading.Lock()
-
-    def on_open(server, connection, line):
-        _, identity, key, _ = line.split()
-        with lock:
-            runs.setdefault(key, []).append(server.name)
-            taken[identity] = server.name
-        record.add("%s runs command %s" % (server.name, key))
-        if not server.hung.is_set():
-            return server.up(connection, line)
-        while connection.read():  # it hangs: nothing is answered
-            pass
-        return connection.close()
-
-    servers = [stage.Server(record, "s-%d" % i, on_open) for i in range(4)]
+    zones = stage.settings()["zones"]
+    servers = [stage.Server(record, "s-%d" % i, zone=zones[i % 3]) for i in range(9)]
+    servers[8].status = "draining" if trouble else "ready"
+    record.add("s-8 is %s, in discovery's list and in the one that the balancers start with" % servers[8].status)
     discovery = stage.Discovery(record, servers)
-    values = stage.settings(effect="unsafe", deadline_ms=DEADLINE_MS, aim_ms=500, balancers=2)
-    for name in ("n1", "n2"):
-        balancers.append(stage.Balancer(record, folder, name, discovery, values))
-    answers, broken = [], []
-
-    def ask(number, identity, balancer, pieces):
-        """Sends one request; returns its connection and its answer."""
-        line = "OPEN %s %s c=telemetry,d=%d,g=%016x" % (identity, stage.identity(number)[1], DEADLINE_MS,
-                                                        0x5c0f6e1a00000000 + number)
-        try:
+    for name in ("n1", "n2", "n3"):
+        balancers.append(stage.Balancer(record, folder, name, discovery, stage.settings(balancers=3)))
+    time.sleep(1.5)  # clients come once all balancers are ready
+    began, up, lock = time.monotonic(), set(), threading.Lock()
+
+    def client(number, balancer, server):
+        for attempt in range(2):  # clients retry by themselves at most once
+            identity, key = stage.identity(number + 100 * attempt)
             connection = stage.connect(balancer)
-        except OSError:
-            record.add("client %d: %s does not accept" % (number, balancer.name))
-            return None, None
-        if pieces:
-            connection.sock.sendall(line[:20].encode())
-            time.sleep(pieces)
-            connection.send(line[20:])
-        else:
-            connection.send(line)
-        record.add("client %d sent  %s to %s" % (number, line, balancer.name))
-        answer = connection.read(4)
-        record.add("client %d heard %r from %s" % (number, answer, balancer.name))
-        answers.append(answer)
-        return connection, answer
-
-    def client(number, balancer, at, pieces):
-        identity = stage.identity(number)[0]
-        time.sleep(max(0, at - time.monotonic()))
-        connection, answer = ask(number, identity, balancer, pieces)
-        if answer and answer.split()[0] == "BUSY":
-            if identity in taken:
-                broken.append("client %d heard %r (trying again is harmless), but %s had taken and run its request of an "
-                              "unsafe class" % (number, answer, taken[identity]))
-            connection.close()
-            time.sleep(0.2)  # it comes again, with a new id and through the front, which has taken n1 out
-            connection, answer = ask(number, "a" + identity[1:], balancers[1], 0)
-        until = time.monotonic() + 1.5
-        while answer and answer.startswith("UP") and time.monotonic() < until:
-            connection.send("position 1")
-            if connection.read(0.5) in ("", "MOVE"):
-                break
-            time.sleep(0.1)
-        if connection:
+            connection.send("OPEN %s %s c=telemetry,d=3000,g=%016x,at=%s" % (identity, key, 0x5c0f6e1a00000000 + number,
+                                                                            server.name))
+            record.add("client %d asks %s for its connection at %s" % (number, balancer.name, server.name))
+            answer = connection.read(max(0.1, began + 40 - time.monotonic()))
+            record.add("client %d heard %r" % (number, answer))
+            if answer and answer.startswith("UP"):
+                with lock:
+                    up.add(number)
+                while time.monotonic() < began + 6:
+                    connection.send("position 1")
+                    if connection.read(1) in ("", "MOVE"):
+                        break
+                    time.sleep(0.5)
+                return connection.close()
             connection.close()
+            time.sleep(random.uniform(0.05, 0.4))
+        return record.add("client %d gives up" % number)
 
-    for number in range(8):  # usual traffic, all served
-        stage.thread(client, 100 + number, balancers[number % 2], time.monotonic() + 0.1 * number, 0)
-    time.sleep(2.5)
-    began = time.monotonic()
-    if trouble:
-        for server in servers[:2]:  # half of the servers hang just then
-            server.hung.set()
-            record.add("%s hangs" % server.name)
-        balancers[0].signal(signal.SIGTERM)
-    threads = [stage.thread(client, number, balancers[0], began + at, pieces)
-               for number, (at, pieces) in enumerate(ARRIVALS)]
+    homes = [servers[8] if number < AT_THE_LAST else servers[number % 8] for number in range(CLIENTS)]
+    threads = [stage.thread(client, number, balancers[number % 3], homes[number]) for number in range(CLIENTS)]
     for t in threads:
-        t.join(15)
-    for key, at in sorted(runs.items()):
-        if len(at) > 1:
-            record.add("command %s ran %d times: %s" % (key, len(at), ", ".join(at)))
-    if len(answers) < 8 + len(ARRIVALS):
-        raise RuntimeError("not all clients were accepted")
-    return broken
+        t.join(45)
+    if not up:
+        raise RuntimeError("no connection is up")
+    return ["client %d's connection, open at %s before the run, is lost" % (number, homes[number].name)
+            for number in range(CLIENTS) if number not in up]
 
 
 stage.play(case, HERE)
--- a/review/standins-2/stage.py
+++ b/review/standins-2/stage.py
@@ -3,6 +3,7 @@
 They follow PROTOCOL and DEPLOY. Every address is a loopback address; ports are free ones; files that the program
 reads are in a temporary folder. Only the standard library is used.
 """
+import ctypes
 import json
 import os
 import signal
@@ -34,6 +35,12 @@
             self.file.flush()
 
 
+def start(command, **more):
+    """Starts a process that ends with this one, whatever ends it."""
+    library = ctypes.CDLL(None)
+    return subprocess.Popen(command, preexec_fn=lambda: library.prctl(1, signal.SIGKILL), **more)
+
+
 def free_port(kind=socket.SOCK_STREAM):
     with socket.socket(socket.AF_INET, kind) as s:
         s.bind(("127.0.0.1", 0))
@@ -239,7 +246,7 @@
         self.address = "127.0.0.1:%d" % self.port
         self.path = os.path.join(folder, name + ".json")
         self.config = {"name": name, "listen": self.address, "discovery": discovery.address,
-                       "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                       "seed": os.urandom(8).hex(), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
                        "known": discovery.known(), "settings": values}
         self.config.update(more)
         self.write()
@@ -248,8 +255,7 @@
         environment = dict(os.environ, BALANCER_NAME=name, BALANCER_LISTEN=self.address,
                            BALANCER_DISCOVERY=discovery.address, BALANCER_CONFIG=self.path, TMPDIR=scratch)
         self.log = open(os.path.join(folder, name + ".log"), "wb")
-        self.process = subprocess.Popen(["/bin/sh", "-c", run_line()], cwd=ROOT, env=environment, stdout=self.log,
-                                        stderr=self.log, start_new_session=True)
+        self.process = start(["/bin/sh", "-c", run_line()], cwd=ROOT, env=environment, stdout=self.log, stderr=self.log)
         until = time.monotonic() + 20
         while not self.ready():
             if time.monotonic() > until or self.process.poll() is not None:
@@ -299,16 +305,24 @@
 
 
 def play(case, folder_of_case):
-    """Runs `case(record, folder, trouble)`, which returns a list of what broke the rule. Exits 0, 1 or 2."""
+    """Runs `case(record, folder, trouble, balancers)`, which returns a list of what broke the rule.
+
+    Exits with 0 if there is nothing, 11 if there is something, and 2 if the case could not run.
+    """
     record = Record(os.path.join(folder_of_case, "record.txt"))
     code, balancers = 2, []
+
+    def cut_short(*_):
+        raise RuntimeError("cut short")
+
+    signal.signal(signal.SIGTERM, cut_short)
     with tempfile.TemporaryDirectory() as folder:
         try:
             broken = case(record, folder, os.environ.get("TROUBLE") != "0", balancers)
             for line in broken:
                 record.add("BROKEN: " + line)
                 print("BROKEN: " + line)
-            code = 1 if broken else 0
+            code = 11 if broken else 0
         except Exception as error:  # pylint: disable=broad-except
             record.add("could not run: %r" % error)
             print("could not run: %r" % error)
@@ -321,5 +335,5 @@
                         with open(os.path.join(folder, name), "rb") as source:
                             with open(os.path.join(os.environ["KEEP_LOGS"], name), "wb") as to:
                                 to.write(source.read())
-    record.add("result %d" % code)
+    record.add({0: "the rule held", 11: "the rule was broken"}.get(code, "the case could not run"))
     os._exit(code)
