--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,8 +23,7 @@
         self.start()
 
     def start(self):
-        self.process = subprocess.Popen([PEERS, "worker", str(self.port), str(WORK_MS)], stdout=subprocess.PIPE,
-                                        text=True)
+        self.process = stage.start([PEERS, "worker", str(self.port), str(WORK_MS)], stdout=subprocess.PIPE, text=True)
         if self.process.stdout.readline().strip() != "READY":
             raise RuntimeError("%s does not start" % self.name)
         threading.Thread(target=self.follow, args=(self.process,), daemon=True).start()
