Show that a keyed request is answered BUSY after a reset near its deadline

Cause: a request that waits for a load report is passed over until its deadline, where the fallback answers BUSY.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,55 +1,72 @@
-"""A file whose deadline is not a positive number is taken at SIGHUP; clients are sent to the servers it leads to."""
+"""A keyed request whose connection to its server is reset shortly before its time is up is answered BUSY."""
 import os
-import signal
+import socket
+import struct
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import stage  # noqa: E402
 
+DEADLINE_MS, REQUESTS = 700, 24
+LEAD_MS = 5  # the reset comes so long before the time that the balancer told the server
+
 
 def case(record, folder, trouble, balancers):
-    served = []
+    runs, lock = {}, threading.Lock()
 
     def on_open(server, connection, line):
-        served.append(server.name)
-        server.up(connection, line)
+        began = time.monotonic()
+        key = line.split()[2]
+        with lock:
+            runs.setdefault(key, []).append(server)
+        record.add("%s of cell %d runs command %s" % (server.name, server.cell, key))
+        if not trouble or len(runs[key]) > 1:
+            return server.up(connection, line)
+        told = int(line.split("d=")[1].split(",")[0])
+        time.sleep(max(0, began + (told - LEAD_MS) / 1000 - time.monotonic()))
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+        return record.add("%s resets the connection under command %s" % (server.name, key))
 
-    own = [stage.Server(record, "s-%d" % i, on_open) for i in range(3)]
-    foreign = [stage.Server(record, "x-%d" % i, on_open) for i in range(2)]
-    discovery, other = stage.Discovery(record, own), stage.Discovery(record, foreign)
-    balancers.append(stage.Balancer(record, folder, "n1", discovery, stage.settings()))
-    balancer = balancers[0]
+    servers = [stage.Server(record, "s-%d" % i, on_open, cell=1 + i // 4) for i in range(8)]
+    discovery = stage.Discovery(record, servers)
+    values = stage.settings(effect="keyed", scope="cell", deadline_ms=DEADLINE_MS, aim_ms=500)
+    balancers.append(stage.Balancer(record, folder, "n1", discovery, values))
+    time.sleep(2)
+    broken, answers = [], []
 
-    def client(number):
-        identity, key = stage.identity(number)
-        connection = stage.connect(balancer)
-        connection.send("OPEN %s %s c=telemetry,d=3000,g=%016x" % (identity, key, 0x5c0f6e1a00000000 + number))
-        record.add("client %d heard %r" % (number, connection.read(4)))
-        return connection
-
-    open_ones = [client(number) for number in range(4)]
-    time.sleep(5)
-    if trouble:  # the file of another place, still without its deadline
-        balancer.config["discovery"] = other.address
-        balancer.config["settings"]["request_classes"][0]["give_up_us"] = 0
-    balancer.write()
-    record.add("the file names discovery %s and a deadline of %d us" % (
-        balancer.config["discovery"], balancer.config["settings"]["request_classes"][0]["give_up_us"]))
-    balancer.signal(signal.SIGHUP)
-    time.sleep(4)
-    del served[:]
-    later = [client(number) for number in range(10, 18)]
-    for number, connection in enumerate(open_ones):
-        connection.send("position 1")
-        answer = connection.read(2)
-        record.add("standing client %d heard %r" % (number, answer))
-    for connection in open_ones + later:
+    def ask(number, identity):
+        line = "OPEN %s %s c=telemetry,d=%d,g=%016x" % (identity, stage.identity(number)[1], DEADLINE_MS,
+                                                        0x5c0f6e1a00000000 + number)
+        connection = stage.connect(balancers[0])
+        connection.send(line)
+        sent = time.monotonic()
+        record.add("client sent  %s" % line)
+        answer = connection.read(3)
+        record.add("client heard %r after %.4f s" % (answer, time.monotonic() - sent))
+        answers.append(answer)
         connection.close()
-    if not served:
-        raise RuntimeError("no server was asked")
-    return ["%s, of the list of a broken file, got a client's request" % name for name in served if name[0] == "x"]
+        return answer
+
+    for number in range(REQUESTS):
+        identity, key = stage.identity(number)
+        before = len(runs.get(key, []))
+        answer = ask(number, identity)
+        first = runs.get(key, [])
+        if answer and answer.split()[0] == "BUSY" and len(first) > before:
+            broken.append("request %s, of a class keyed by cell, heard %r (trying again is harmless), but %s of cell %d had "
+                          "run it" % (identity, answer, first[0].name, first[0].cell))
+            time.sleep(0.2)
+            ask(number, "a" + identity[1:])  # it comes again, as it was told
+            if len({server.cell for server in runs[key]}) > 1:
+                record.add("command %s ran in two cells" % key)
+        time.sleep(1)
+    if not any(answers):
+        raise RuntimeError("no client was answered")
+    return broken
 
 
 stage.play(case, HERE)
