Resume connections at the worker that holds them, whatever the list says of it

Cause: Dispatcher::hand_over sent the at= line by the way of a new call, and WorkerLink::connected asked Exchange::may_begin, which refuses what begins 150 ms after a worker was listed as draining. A worker that the first list lacks was refused in ClientLink::handle_request. A QUIC Initial that continues a handshake was taken for the first one of a new call.

Ruled out: the worker turning the line away (its accept queue stayed empty), and the list being late (known list and discovery both named the drain from the start).

Change: the policy decides on such connections (ResumeEvent, Resumptions), as it does on all other attempts; before the line is written only a changed address stops it. An unlisted worker's connection waits for the first answer of discovery, which is requested at once.

--- a/include/marblehub/policy.h
+++ b/include/marblehub/policy.h
@@ -132,6 +132,13 @@
   std::string backend;
 };
 
+/// A client asks for a connection that `backend` has held open since before the balancer started. It is
+/// submitted to that backend alone, even while it is draining or removed. The request has no deadline.
+struct ResumeEvent {
+  RequestEvent request;  // expires_in: how long it may wait for the backend to be listed; 0: not stated
+  std::string backend;
+};
+
 /// An attempt was accepted and its connection is open.
 struct EstablishedEvent {
   std::uint64_t id = 0;
@@ -187,8 +194,8 @@
   std::uint64_t id = 0;
 };
 
-using Event = std::variant<EndpointListEvent, RequestEvent, HandoverEvent, EstablishedEvent, ResultEvent,
-                           ProbeResultEvent, ConnectionUpdateEvent, TimerEvent, ClientGoneEvent>;
+using Event = std::variant<EndpointListEvent, RequestEvent, HandoverEvent, ResumeEvent, EstablishedEvent,
+                           ResultEvent, ProbeResultEvent, ConnectionUpdateEvent, TimerEvent, ClientGoneEvent>;
 
 // ---- Actions
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -14,11 +14,6 @@
 // Subtracted from the time within which sends to a leaving worker must stop: a list is handled some time
 // after service discovery wrote it.
 constexpr Time kDrainMargin = 100 * kMillisecond;
-// Hand-overs of connections from before the restart: attempts per connection, the delay after a failed one,
-// and its time-out.
-constexpr int kHandoverAttempts = 4;
-constexpr Time kHandoverRetryDelay = 300 * kMillisecond;
-constexpr Time kHandoverTimeout = 10 * kSecond;
 
 }  // namespace
 
@@ -57,9 +52,8 @@
   Exchange& exchange = register_call(std::move(call), client, workers);
   unanswered_ += 1;
   counters_.calls.add();
-  const std::string& previous_worker = exchange.call().handover_worker;
-  if (!previous_worker.empty() && !workers_.address_of(previous_worker).empty()) {
-    hand_over(exchange);
+  if (exchange.resumes()) {
+    notify(ResumeEvent{request_of(exchange), exchange.call().handover_worker});
     return exchange;
   }
   if (gate_) {
@@ -91,19 +85,6 @@
   return exchange;
 }
 
-// A connection from before the restart goes back to its worker, without a decision of the policy.
-void Dispatcher::hand_over(Exchange& exchange) {
-  exchange.handover_attempts_ += 1;
-  begin_attempt(exchange, exchange.call().handover_worker, kHandoverTimeout);
-}
-
-void Dispatcher::retry_handover(Exchange& exchange) {
-  if (exchange.attempt_) return;
-  if (exchange.handover_attempts_ < kHandoverAttempts) return hand_over(exchange);
-  answer(exchange, Answer::failed, 0, "");
-  close(exchange);
-}
-
 void Dispatcher::begin_attempt(Exchange& exchange, const std::string& worker, Time wait) {
   exchange.worker_ = worker;
   exchange.attempt_started_at_ = now();
@@ -118,9 +99,11 @@
   exchange.attempt_ = exchange.workers_.begin_attempt(exchange, worker, exchange.address_, wait);
 }
 
-// The worker may have begun to drain while the connection to it was being set up.
-bool Dispatcher::may_begin(const std::string& worker, const std::string& address) const {
-  bool allowed = workers_.may_begin(worker, address, now());
+// The worker may have begun to drain, or moved, while the connection to it was being set up. A worker that
+// drains still gets the connections that it holds.
+bool Dispatcher::may_begin(const Exchange& exchange) const {
+  bool allowed = exchange.resumes() ? workers_.address_of(exchange.worker_) == exchange.address_
+                                    : workers_.may_begin(exchange.worker_, exchange.address_, now());
   if (!allowed) counters_.drain_stops.add();
   return allowed;
 }
@@ -130,20 +113,13 @@
   log::debug("call {} up at {} after {} ms", exchange.id_, exchange.worker_,
              (now() - exchange.attempt_started_at_) / kMillisecond);
   unanswered_ -= 1;
-  const bool handed_over = exchange.handover_attempts_ > 0;
   if (connection_observer_) {
     connection_observer_->call_answered(false);
     connection_observer_->connection_established(exchange.id_, exchange.worker_, exchange.call(),
-                                                 handed_over);
+                                                 exchange.resumes());
   }
   if (gate_) gate_->call_established(exchange.id_);
-  int attempt = exchange.attempts_ - 1;
-  if (handed_over) {
-    exchange.attempts_ = 1;  // the policy counts the established connection as the first attempt
-    notify(HandoverEvent{request_of(exchange), exchange.worker_});
-    return;
-  }
-  notify(EstablishedEvent{exchange.id_, attempt, now() - exchange.attempt_started_at_});
+  notify(EstablishedEvent{exchange.id_, exchange.attempts_ - 1, now() - exchange.attempt_started_at_});
 }
 
 void Dispatcher::attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal) {
@@ -152,10 +128,6 @@
   counters_.attempt_result(outcome).add();
   log::debug("call {} at {}: {} after {} ms", exchange.id_, exchange.worker_, name_of(outcome),
              (now() - exchange.attempt_started_at_) / kMillisecond);
-  if (exchange.handover_attempts_ > 0 && exchange.state_ == Exchange::State::waiting) {
-    timers_.push({now() + kHandoverRetryDelay, TimerKind::handover, exchange.id_});
-    return;
-  }
   ResultEvent event = result_of(exchange, outcome, report, terminal);
   if (terminal) close(exchange);
   notify(std::move(event));
@@ -166,10 +138,8 @@
     counters_.clients_left.add();
     unanswered_ -= 1;
   }
-  const bool policy_knows = was_established || exchange.handover_attempts_ == 0;
   ResultEvent event = result_of(exchange, Outcome::cancelled, {}, true);
   close(exchange);
-  if (!policy_knows) return;
   if (!was_established) notify(ClientGoneEvent{event.id});
   if (event.attempt >= 0) notify(std::move(event));
 }
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -105,7 +105,7 @@
   enum class Answer { overload, failed };
 
   // ---- Called by exchanges.
-  bool may_begin(const std::string& worker, const std::string& address) const;
+  bool may_begin(const Exchange& exchange) const;
   void established(Exchange& exchange);
   void message_answered(Exchange& exchange, Time delay);
   void load_changed(Exchange& exchange, double load);
@@ -117,8 +117,6 @@
   // ---- Calls.
   Exchange& register_call(Call call, ClientSide& client, WorkerSide& workers);
   void begin_attempt(Exchange& exchange, const std::string& worker, Time wait);
-  void hand_over(Exchange& exchange);
-  void retry_handover(Exchange& exchange);
   void answer(Exchange& exchange, Answer answer, Time pause, std::string_view error_text);
   void answer_and_close(Exchange& exchange, Answer answer, Time pause);
   void close(Exchange& exchange);
--- a/src/core/dispatcher_timers.cpp
+++ b/src/core/dispatcher_timers.cpp
@@ -33,7 +33,6 @@
   }
   Exchange* exchange = find_waiting(timer.id);
   if (!exchange) return;
-  if (timer.kind == TimerKind::handover) return retry_handover(*exchange);
   if (timer.kind == TimerKind::attempt) return attempt_timed_out(*exchange, timer.attempt);
   deadline_passed(*exchange);
 }
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -43,7 +43,7 @@
   if (attempt_) attempt_->hold(on);
 }
 
-bool Exchange::may_begin() const { return dispatcher_.may_begin(worker_, address_); }
+bool Exchange::may_begin() const { return dispatcher_.may_begin(*this); }
 
 void Exchange::worker_established(std::string_view receipt) {
   if (state_ != State::waiting || !client_) return;
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -38,6 +38,8 @@
   const Call& call() const { return call_; }
 
   // ---- State.
+  /// The connection was established before the restart, and only its worker can resume it.
+  bool resumes() const { return !call_.handover_worker.empty(); }
   bool is_established() const { return state_ == State::established; }
   /// The client will be requested to move at the next message boundary.
   bool move_pending() const { return move_pending_; }
@@ -63,7 +65,7 @@
   // ---- Called by the worker's side.
   /// Whether the client is still connected.
   bool client_waiting() const { return client_ && client_->is_connected(); }
-  /// Whether the worker may still be sent a new call.
+  /// Whether the call may still be sent to the worker of its attempt.
   bool may_begin() const;
   /// The worker accepted the call; `receipt` is its answer, forwarded to the client.
   void worker_established(std::string_view receipt);
@@ -96,7 +98,6 @@
   std::unique_ptr<Attempt> attempt_;
   State state_ = State::waiting;
   int attempts_ = 0;
-  int handover_attempts_ = 0;
   bool withheld_ = false;  // the policy's last attempt was not begun: the client has left
   std::shared_ptr<const std::set<std::string>> allowed_workers_;  // null: all workers
   std::string worker_, address_;                                  // of the latest attempt
--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -18,7 +18,6 @@
   deadline,  // a call's deadline
   monitor,   // check of established connections
   move,      // the client of an established connection is requested to move
-  handover,  // next attempt to hand a connection from before the restart to its worker
 };
 
 /// One pending timer.
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -206,8 +206,6 @@
   std::optional<Opening> opening = parse_opening(line);
   int request_class = opening ? dispatcher.class_index(opening->request_class) : -1;
   if (request_class < 0 || !input_.empty()) return malformed();
-  if (!opening->worker.empty() && !dispatcher.workers().count(std::string(opening->worker)))
-    return malformed();
   std::string id(opening->id);
   if (!listener_.open_ids_.insert(id).second)
     return malformed();  // the id belongs to another client's open call
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -13,6 +13,7 @@
 #include "policy/placement/selector.h"
 #include "policy/requests/admission.h"
 #include "policy/requests/request_handler.h"
+#include "policy/requests/resumptions.h"
 #include "policy/requests/retry_rules.h"
 #include "policy/slow_start/ramp.h"
 #include "policy/state/backend_table.h"
@@ -52,8 +53,9 @@
   Selector selector{context, backends, delays, ramp, rules, affinity};
   Admission admission{context, backends, delays};
   Migration migration{context, backends, delays, admission, requests};
+  Resumptions resumptions{context, backends, endpoints};
   RequestHandler handler{
-      {context, backends, requests, groups, delays, ramp, rules, admission, prober, selector}};
+      {context, backends, requests, groups, delays, ramp, rules, admission, prober, selector, resumptions}};
   Time sweep_due = kNotScheduled;
 };
 
--- a/src/policy/discovery/endpoint_list.cpp
+++ b/src/policy/discovery/endpoint_list.cpp
@@ -21,7 +21,7 @@
   if (event.kind == EndpointListKind::cached) {
     next_call_at_ = context_.now + context_.random.up_to(kFirstCallSpread);
   } else {
-    watching_ = true;
+    watching_ = confirmed_ = true;
     backoff_ = kSecond;
   }
   if (event.kind != EndpointListKind::changes)
@@ -35,7 +35,7 @@
 // Exponential backoff with jitter: all balancers share one discovery service.
 void EndpointList::call_failed() {
   watching_ = false;
-  Time after_last_call = called_at_ + context_.random.jittered(backoff_);
+  Time after_last_call = std::max<Time>(0, called_at_) + context_.random.jittered(backoff_);
   Time from_now = context_.now + context_.random.jittered(kSecond);
   next_call_at_ = std::max(from_now, after_last_call);
   backoff_ = std::min(2 * backoff_, kMaxBackoff);
@@ -63,6 +63,10 @@
   }
 }
 
+void EndpointList::request_first_list() {
+  if (called_at_ == kNotCalled) next_call_at_ = std::min(next_call_at_, context_.now);
+}
+
 void EndpointList::poll() {
   if (!context_.settings.pull_endpoints || watching_ || call_in_flight_ || context_.now < next_call_at_)
     return;
--- a/src/policy/discovery/endpoint_list.h
+++ b/src/policy/discovery/endpoint_list.h
@@ -19,7 +19,15 @@
   /// sweep.
   void poll();
 
+  /// Whether service discovery has answered since the start, so that the list is not only a cached one.
+  bool is_confirmed() const { return confirmed_; }
+
+  /// Requests the first list at once instead of after a random delay. No effect after the first request.
+  void request_first_list();
+
  private:
+  static constexpr Time kNotCalled = -1;
+
   void call_failed();
   void apply(const BackendEntry& entry);
   void update_leaving_since();
@@ -27,9 +35,10 @@
   Context& context_;
   BackendTable& backends_;
   bool watching_ = false;
+  bool confirmed_ = false;
   bool call_in_flight_ = false;
   Time next_call_at_ = 0;
-  Time called_at_ = 0;
+  Time called_at_ = kNotCalled;
   Time backoff_ = kSecond;
 };
 
--- a/src/policy/migration/migration.cpp
+++ b/src/policy/migration/migration.cpp
@@ -23,17 +23,18 @@
   return backend.leaving_since >= 0 || backend.down || overwhelmed(backend) || late;
 }
 
-// Connections leave a draining backend at an even rate, but only if another backend is usable.
-bool Migration::leaves_draining_in_sweep(const Backend& backend) {
+// Connections leave a draining backend at an even rate, but only if another backend is usable. One that was
+// resumed at a backend that drains already has as much time from then on.
+bool Migration::leaves_draining_in_sweep(const Backend& backend, Time opened_at) {
   if (!std::any_of(backends_.begin(), backends_.end(), usable)) return false;
-  Time left = backend.leaving_since + kLeaveDrainingTime - context_.now;
+  Time left = std::max(backend.leaving_since, opened_at) + kLeaveDrainingTime - context_.now;
   return left <= kSweepInterval || context_.random.uniform() * static_cast<double>(left) < kSweepInterval;
 }
 
 // Departures are spread over time, and suppressed if most other backends are no better.
 bool Migration::leaves_in_sweep(const Request& request) {
   const Backend& backend = backends_[request.backend];
-  if (backend.leaving_since >= 0) return leaves_draining_in_sweep(backend);
+  if (backend.leaving_since >= 0) return leaves_draining_in_sweep(backend, request.sent_at);
   double lateness = std::min(1.0, delays_.delay(backend) / delays_.shortest_objective_ms());
   double rate = backend.down || overwhelmed(backend)
                     ? 1.0 / kLeaveDownTime
--- a/src/policy/migration/migration.h
+++ b/src/policy/migration/migration.h
@@ -27,7 +27,7 @@
  private:
   bool needs_migration(const Backend& backend) const;
   bool leaves_in_sweep(const Request& request);
-  bool leaves_draining_in_sweep(const Backend& backend);
+  bool leaves_draining_in_sweep(const Backend& backend, Time opened_at);
   void emit_redirect(std::uint64_t id, const Backend& backend);
   bool capacity_elsewhere() const;
 
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -70,7 +70,11 @@
   request.attempts = 1;
   request.backend = index;
   request.in_flight = request.open = true;
-  Backend& backend = deps_.backends[index];
+  add_held_connection(deps_.backends[index], request);
+}
+
+// Counts a connection that the backend has held since before the start.
+void RequestHandler::add_held_connection(Backend& backend, Request& request) {
   backend.add_connection(request, deps_.groups);
   // The backend may be at capacity already, so its first check is early.
   if (backend.latency_samples.empty()) {
@@ -79,6 +83,18 @@
   }
 }
 
+void RequestHandler::on(const ResumeEvent& event) {
+  RequestTable& table = deps_.requests;
+  const std::uint64_t id = event.request.id;
+  if (table.requests.count(id) || !has_class(event.request)) return;
+  table.waiting.insert(id);
+  Request& request = add_request(event.request);
+  request.deadline = deps_.context.now + Resumptions::kTotalTime;
+  request.resumes = true;
+  deps_.resumptions.add(id, event.backend, event.request.expires_in);
+  place(id, request);
+}
+
 // ---- Placement and retries
 
 // Where probes are expensive, reports may be outdated: a new one is requested before an attempt is sent.
@@ -119,6 +135,7 @@
 // Starts the next attempt if one is allowed and can still succeed; otherwise the request waits or is
 // answered.
 void RequestHandler::place(std::uint64_t id, Request& request) {
+  if (request.resumes) return resume(id, request);
   // The margin of one sweep lets the final answer go out before the deadline.
   Time left = request.deadline - deps_.context.now - kSweepInterval;
   bool attempts_left = request.attempts < deps_.context.settings.max_attempts;
@@ -133,6 +150,16 @@
   begin_attempt(id, request, index, attempt_timeout(request, left, limiter), limiter);
 }
 
+// The next attempt to resume a connection at the backend that holds it.
+void RequestHandler::resume(std::uint64_t id, Request& request) {
+  Time left = request.deadline - deps_.context.now;
+  if (left <= 0 || !deps_.rules.repeatable(request)) return fail(id, request);
+  Resumptions::Step step = deps_.resumptions.next_step(id, request.attempts);
+  if (step == Resumptions::Step::wait) return;
+  if (step == Resumptions::Step::give_up) return fail(id, request);
+  submit(id, request, deps_.resumptions.backend_of(id), std::min(left, Resumptions::kAttemptTime));
+}
+
 // Raises the utilization by the expected load until the next report. Other balancers are assumed to send to
 // the same backend too, but only a few of them in that time.
 void RequestHandler::anticipate_load(Backend& backend, const Request& request) const {
@@ -143,20 +170,23 @@
 
 void RequestHandler::begin_attempt(std::uint64_t id, Request& request, int index, Time timeout,
                                    SetupLimiter& limiter) {
-  const Time now = deps_.context.now;
   const bool stream = deps_.rules.class_of(request).stream;
   Backend& backend = deps_.backends[index];
   anticipate_load(backend, request);
-  backend.recent.add(request.load, now, Selector::kRecentDecayTime);
+  backend.recent.add(request.load, deps_.context.now, Selector::kRecentDecayTime);
   backend.open_in_sweep = false;
+  if (stream) limiter.begin();
+  submit(id, request, index, timeout);
+  if (!stream) backend.add_connection(request, deps_.groups);  // no EstablishedEvent follows
+}
+
+void RequestHandler::submit(std::uint64_t id, Request& request, int index, Time timeout) {
   request.attempts += 1;
   request.backend = index;
   request.in_flight = true;
-  if (stream) limiter.begin();
-  request.sent_at = now;
+  request.sent_at = deps_.context.now;
   request.tried.push_back(index);
-  deps_.context.emit(Submit{id, backend.address, now + timeout});
-  if (!stream) backend.add_connection(request, deps_.groups);  // no EstablishedEvent follows
+  deps_.context.emit(Submit{id, deps_.backends[index].address, deps_.context.now + timeout});
 }
 
 // ---- Answers
@@ -168,6 +198,10 @@
     RejectReason reason = request.attempts == 0 ? RejectReason::expired : RejectReason::attempts_failed;
     return reject(id, request, deps_.context.random.up_to(max_retry_after / 4), reason);
   }
+  fail(id, request);
+}
+
+void RequestHandler::fail(std::uint64_t id, Request& request) {
   deps_.context.emit(Fail{id});
   end_request(id, request);
 }
@@ -179,6 +213,7 @@
 
 void RequestHandler::end_request(std::uint64_t id, Request& request) {
   request.answered = true;
+  deps_.resumptions.remove(id);
   if (!request.in_flight) deps_.requests.requests.erase(id);
 }
 
@@ -188,6 +223,10 @@
   Request* request = deps_.requests.find_in_flight(event.id, event.attempt);
   if (!request || request->open) return;
   request->open = true;
+  if (request->resumes) {
+    deps_.resumptions.remove(event.id);
+    return add_held_connection(deps_.backends[request->backend], *request);
+  }
   bool promptly = deps_.context.now - request->sent_at <= request->time_share;
   limiter_of(*request).succeed(promptly);
   if (!request->counted) deps_.backends[request->backend].add_connection(*request, deps_.groups);
@@ -202,6 +241,7 @@
   backend.remove_connection(*request, deps_.groups);
   apply_result(backend, event, *request);
   if (event.terminal || request->answered || request->open) {
+    deps_.resumptions.remove(event.id);
     deps_.requests.requests.erase(event.id);
     return;
   }
@@ -209,10 +249,12 @@
     request->may_have_run_at = request->sent_at;
     request->may_have_run_on = request->backend;
   }
+  deps_.resumptions.attempt_failed(event.id);
   place(event.id, *request);
 }
 
 void RequestHandler::end_setup(const Request& request) {
+  if (request.resumes) return;  // it took no part in the limit
   SetupLimiter& limiter = limiter_of(request);
   if (deps_.rules.class_of(request).stream) limiter.end();
 }
@@ -227,8 +269,8 @@
     delays.observe_at_least(backend, kResetDelayObjectives * delays.shortest_objective_ms());
   }
   if (event.outcome == Outcome::full) delays.observe_at_least(backend, delays.max_delay_ms());
-  bool failed_in_setup =
-      !request.open && (event.outcome == Outcome::error || event.outcome == Outcome::timeout);
+  bool failed_in_setup = !request.open && !request.resumes &&
+                         (event.outcome == Outcome::error || event.outcome == Outcome::timeout);
   if (failed_in_setup)
     limiter_of(request).fail(request.sent_at, deps_.context.now, deps_.rules.class_of(request).slo_us);
 }
--- a/src/policy/requests/request_handler.h
+++ b/src/policy/requests/request_handler.h
@@ -7,6 +7,7 @@
 #include "policy/health/prober.h"
 #include "policy/placement/selector.h"
 #include "policy/requests/admission.h"
+#include "policy/requests/resumptions.h"
 #include "policy/requests/retry_rules.h"
 #include "policy/requests/setup_limiter.h"
 #include "policy/slow_start/ramp.h"
@@ -30,12 +31,14 @@
     const Admission& admission;
     Prober& prober;
     Selector& selector;
+    Resumptions& resumptions;
   };
 
   explicit RequestHandler(const Dependencies& dependencies) : deps_(dependencies) {}
 
   void on(const RequestEvent& event);
   void on(const HandoverEvent& event);
+  void on(const ResumeEvent& event);
   void on(const EstablishedEvent& event);
   void on(const ResultEvent& event);
   void on(const ConnectionUpdateEvent& event);
@@ -53,16 +56,20 @@
   double update_mean_load(double load);
 
   void place(std::uint64_t id, Request& request);
+  void resume(std::uint64_t id, Request& request);
+  void submit(std::uint64_t id, Request& request, int index, Time timeout);
   bool wait_for_report(Backend& backend, Request& request);
   Time attempt_time_share(const Request& request, Time left) const;
   Time attempt_timeout(const Request& request, Time left, const SetupLimiter& limiter) const;
   void begin_attempt(std::uint64_t id, Request& request, int index, Time timeout, SetupLimiter& limiter);
   void anticipate_load(Backend& backend, const Request& request) const;
+  void add_held_connection(Backend& backend, Request& request);
 
   void end_setup(const Request& request);
   void apply_result(Backend& backend, const ResultEvent& event, const Request& request);
   void reject_or_fail(std::uint64_t id, Request& request);
   void reject(std::uint64_t id, Request& request, Time retry_after, RejectReason reason);
+  void fail(std::uint64_t id, Request& request);
   void end_request(std::uint64_t id, Request& request);
 
   SetupLimiter& limiter_of(const Request& request) {
--- a/src/policy/state/request.h
+++ b/src/policy/state/request.h
@@ -31,6 +31,7 @@
   bool counted = false;    // included in the connection count of its backend
   bool open = false;       // the connection is established
   bool answered = false;   // no further action is emitted for this request
+  bool resumes = false;    // its backend holds the connection since before the start
 
   Time may_have_run_at = -1;  // start of the first attempt that may have been executed; -1: none
   int may_have_run_on = -1;   // index of the backend of that attempt
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -132,14 +132,27 @@
     return flow->is_established ? forward(*flow, bytes, datagram) : handle_pending(*flow, datagram, bytes);
   }
   // The policy selects the worker of a new call, whatever server id the client's first Initial encodes: that
-  // worker may be draining.
-  if (header->type == PacketType::initial) return handle_initial(*header, datagram, bytes);
+  // worker may be draining. It still gets the Initials of handshakes that it holds.
+  if (header->type == PacketType::initial) {
+    if (auto id = id_of_held_handshake(*header, bytes)) return route_by_id(*id, bytes, datagram);
+    return handle_initial(*header, datagram, bytes);
+  }
   if (header->type == PacketType::zero_rtt) return buffer_early_data(*header, bytes);
   if (auto id = ids_.codec().decode(header->destination, true)) return route_by_id(*id, bytes, datagram);
   if (unroutable(header->destination)) return route_by_address(bytes, datagram);
   unknown_id_.add();
 }
 
+// The id of an Initial that continues a handshake of a known worker, begun at another router or before a
+// restart. Only the first Initials of a connection open under keys that derive from their destination id.
+std::optional<IdCodec::Decoded> Front::id_of_held_handshake(const Header& header, std::string_view bytes) {
+  auto id = ids_.codec().decode(header.destination, true);
+  if (!id || !workers_.find_by_id(*id)) return std::nullopt;
+  bool begins_connection =
+      open_initial(initial_keys(header.destination, false, header.version), bytes).has_value();
+  return begins_connection ? std::nullopt : id;
+}
+
 void Front::send_version_negotiation(const Header& header, std::string_view bytes, const Endpoint& from) {
   unknown_version_.add();
   // Smaller datagrams cannot begin a connection; the reply is never longer than the datagram.
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -61,6 +61,7 @@
   // ---- front.cpp
   void receive_from_clients();
   void handle_client_datagram(const Datagram& datagram);
+  std::optional<IdCodec::Decoded> id_of_held_handshake(const Header& header, std::string_view bytes);
   void send_version_negotiation(const Header& header, std::string_view bytes, const Endpoint& from);
   // `packets`: the leading packets of the datagram that share its first destination id; only these may be
   // forwarded.
--- a/tests/quic/front_test.cpp
+++ b/tests/quic/front_test.cpp
@@ -124,6 +124,30 @@
   }
 }
 
+// Guards against handshakes that a worker holds being taken for new calls, after a restart or at another
+// router: here an Initial that acknowledges the worker's, under the keys of an id that this router never saw.
+TEST_CASE("an Initial of a handshake that a draining worker holds reaches it, a new one does not") {
+  QuicTestbed testbed({"g-1", "g-2"});
+  StubWorker& draining = *testbed.workers[0];
+  testbed.run(4200);  // the first registry call is sent within 4 s
+  testbed.registry_update.push_back(QuicTestbed::entry(draining, "draining"));
+  testbed.run(600);
+  const std::string held_id = IdCodec(kIds).encode(2, draining.server_id, "held-1");
+  auto send_initial = [&](const std::string& keys_id) {
+    UdpSocket().send(
+        seal_initial(initial_keys(keys_id, false), held_id, "client-1", 1, std::string(1200, '\0')),
+        loopback(testbed.port));
+    testbed.run(300);
+  };
+  send_initial("another-");
+  CHECK(draining.initial_count == 1);
+  CHECK(testbed.counter("marblehub_calls_total") == 0);
+  send_initial(held_id);
+  CHECK(draining.initial_count == 1);
+  CHECK(testbed.workers[1]->initial_count == 1);
+  CHECK(testbed.counter("marblehub_calls_total") == 1);
+}
+
 // Each client takes one socket: running out of descriptors must not stop the program or count as worker
 // failures.
 TEST_CASE("without free descriptors further Initials are closed at once and no worker is marked as failed") {
