Let the policy answer every call that is ended, by what may have run

Cause: Dispatcher::end_all and Dispatcher::deadline_passed answered overload past the policy's rule. A time-out not blamed on the worker was reported as not sent, although the call had been sent.

Ruled out: the rule itself (RetryRules rejected nothing that may have run in tests/fuzz_test.cpp), and the schedule of the restart, which only decides when the wrong answer falls.

Change: AttemptHistory is the one owner of what is known of a request's attempts. Whoever ends a call sends EndRequestEvent with the outcome of the attempt in flight, and the policy answers. core::Attempt tells "proved not run" apart from "to blame". A failed QUIC call is closed with INTERNAL_ERROR, since CONNECTION_REFUSED tells that nothing ran. A worker in no cell is alone in its group.

Admission, eviction and want of descriptors answer before anything is sent (admission_test, descriptors.txt, idle_goes_before_half_a_line: unchanged).

At six jobs beside a build crossing shutdown/second_term and second_interrupt failed once and passed alone; they are being traced.

--- a/include/marblehub/policy.h
+++ b/include/marblehub/policy.h
@@ -149,6 +149,12 @@
 /// How an attempt or a probe ended.
 enum class Outcome { served, error, full, timeout, connect_failed, reset, cancelled, not_sent };
 
+/// Whether the outcome proves that the attempt was not executed: it was not sent, or not accepted by the
+/// backend.
+constexpr bool proves_not_run(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
+}
+
 /// Load reported by a backend.
 struct LoadReport {
   double load = -1;  // requested work divided by capacity; negative: not reported
@@ -194,8 +200,17 @@
   std::uint64_t id = 0;
 };
 
-using Event = std::variant<EndpointListEvent, RequestEvent, HandoverEvent, ResumeEvent, EstablishedEvent,
-                           ResultEvent, ProbeResultEvent, ConnectionUpdateEvent, TimerEvent, ClientGoneEvent>;
+/// The caller must answer a request now, since its deadline has passed or the process exits, and has ended
+/// the attempt in flight, if there is one. Answered at once: with Reject if a retry by the client cannot
+/// execute the request twice, otherwise with Fail.
+struct EndRequestEvent {
+  std::uint64_t id = 0;
+  Outcome attempt_outcome = Outcome::cancelled;  // of the attempt in flight: not_sent or cancelled
+};
+
+using Event =
+    std::variant<EndpointListEvent, RequestEvent, HandoverEvent, ResumeEvent, EstablishedEvent, ResultEvent,
+                 ProbeResultEvent, ConnectionUpdateEvent, TimerEvent, ClientGoneEvent, EndRequestEvent>;
 
 // ---- Actions
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "check/check.h"
 #include "log/log.h"
 
 namespace marblehub::core {
@@ -92,6 +93,11 @@
   // The policy decides before all sockets are read, so the client may have left unnoticed.
   exchange.withheld_ = !exchange.client_waiting();
   if (exchange.withheld_) return;  // the client's end is read in this iteration and ends the call
+  if (!repeat_is_allowed(exchange, worker)) {
+    check::report_violation("core", "an attempt outside the group of one that may have run");
+    exchange.withheld_ = true;
+    return answer_and_close(exchange, Answer::failed, 0);
+  }
   log::debug("call {} sent to {}", exchange.id_, worker);
   counters_.attempts.add();
   timers_.push({now() + wait, TimerKind::attempt, exchange.id_, attempt});
@@ -99,6 +105,15 @@
   exchange.attempt_ = exchange.workers_.begin_attempt(exchange, worker, exchange.address_, wait);
 }
 
+const RequestClass& Dispatcher::class_of(const Exchange& exchange) const {
+  return settings_.classes[static_cast<std::size_t>(exchange.call().request_class)];
+}
+
+bool Dispatcher::repeat_is_allowed(const Exchange& exchange, const std::string& worker) const {
+  return !exchange.possible_run_ ||
+         repeat_allowed(class_of(exchange), *exchange.possible_run_, dedup_group_of(workers_, worker));
+}
+
 // The worker may have begun to drain, or moved, while the connection to it was being set up. A worker that
 // drains still gets the connections that it holds.
 bool Dispatcher::may_begin(const Exchange& exchange) const {
@@ -128,6 +143,8 @@
   counters_.attempt_result(outcome).add();
   log::debug("call {} at {}: {} after {} ms", exchange.id_, exchange.worker_, name_of(outcome),
              (now() - exchange.attempt_started_at_) / kMillisecond);
+  if (!proves_not_run(outcome) && !exchange.possible_run_)
+    exchange.possible_run_ = std::make_unique<DedupGroup>(dedup_group_of(workers_, exchange.worker_));
   ResultEvent event = result_of(exchange, outcome, report, terminal);
   if (terminal) close(exchange);
   notify(std::move(event));
@@ -157,6 +174,10 @@
 // All final answers to calls that were not established are sent here.
 void Dispatcher::answer(Exchange& exchange, Answer answer, Time pause, std::string_view error_text) {
   if (exchange.state_ != Exchange::State::waiting) return;
+  if (answer == Answer::overload && !rejection_allowed(class_of(exchange), exchange.may_have_run())) {
+    check::report_violation("core", "a rejection of a call that may have run");
+    answer = Answer::failed;
+  }
   unanswered_ -= 1;
   if (connection_observer_) connection_observer_->call_answered(true);
   log::debug("call {} answered {}", exchange.id_, answer == Answer::overload ? "overload" : "failed");
@@ -177,6 +198,19 @@
   if (in_flight) notify(std::move(event));  // the policy expects a result for that attempt
 }
 
+// The policy decides between rejection and failure by what its attempts may have done.
+void Dispatcher::end_call(Exchange& exchange) {
+  const std::uint64_t id = exchange.id_;
+  bool unsent = exchange.withheld_ || (exchange.attempt_ && exchange.attempt_->proved_not_run());
+  exchange.withheld_ = false;
+  if (exchange.may_have_run() && !exchange.possible_run_)
+    exchange.possible_run_ = std::make_unique<DedupGroup>(dedup_group_of(workers_, exchange.worker_));
+  exchange.drop_attempt();
+  notify(EndRequestEvent{id, unsent ? Outcome::not_sent : Outcome::cancelled});
+  // A call that the policy does not know is answered all the same.
+  if (Exchange* unknown = find_waiting(id)) answer_and_close(*unknown, Answer::failed, 0);
+}
+
 void Dispatcher::close(Exchange& exchange) {
   auto it = calls_.find(exchange.id_);
   if (it == calls_.end()) return;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -86,8 +86,8 @@
 
   /// Requests the client of every established connection to move, spread evenly over `span`.
   void retire(Time span);
-  /// Ends everything before the program exits: answers every waiting call and requests the client of every
-  /// established connection to move.
+  /// Ends everything before the program exits: answers every waiting call, as the policy decides, and
+  /// requests the client of every established connection to move.
   void end_all();
   /// The number of calls waiting for their answer.
   std::size_t unanswered() const { return unanswered_; }
@@ -120,6 +120,9 @@
   void answer(Exchange& exchange, Answer answer, Time pause, std::string_view error_text);
   void answer_and_close(Exchange& exchange, Answer answer, Time pause);
   void close(Exchange& exchange);
+  void end_call(Exchange& exchange);
+  bool repeat_is_allowed(const Exchange& exchange, const std::string& worker) const;
+  const policy::RequestClass& class_of(const Exchange& exchange) const;
   Exchange* find(std::uint64_t id);
   Exchange* find_waiting(std::uint64_t id);
 
--- a/src/core/dispatcher_timers.cpp
+++ b/src/core/dispatcher_timers.cpp
@@ -39,17 +39,17 @@
 
 void Dispatcher::attempt_timed_out(Exchange& exchange, int attempt) {
   if (!exchange.attempt_ || exchange.attempts_ - 1 != attempt) return;
-  bool worker_to_blame = exchange.attempt_->timeout_blames_worker();
+  Outcome outcome = exchange.attempt_->proved_not_run()          ? Outcome::not_sent
+                    : exchange.attempt_->timeout_blames_worker() ? Outcome::timeout
+                                                                 : Outcome::cancelled;
   exchange.drop_attempt();  // before attempt_over, which may begin the next attempt
-  attempt_over(exchange, worker_to_blame ? Outcome::timeout : Outcome::not_sent, {}, false);
+  attempt_over(exchange, outcome, {}, false);
 }
 
 // Fallback: the policy normally answers well before the deadline.
 void Dispatcher::deadline_passed(Exchange& exchange) {
   counters_.deadline_answers.add();
-  std::uint64_t id = exchange.id_;
-  answer_and_close(exchange, Answer::overload, 0);
-  notify(ClientGoneEvent{id});
+  end_call(exchange);
 }
 
 void Dispatcher::monitor() {
@@ -110,7 +110,7 @@
     Exchange* exchange = find(id);
     if (!exchange) continue;
     if (exchange->state_ == Exchange::State::waiting) {
-      answer_and_close(*exchange, Answer::overload, 0);
+      end_call(*exchange);
     } else {
       exchange->redirect_now(MoveReason::restart);  // even inside a message, since the program exits now
     }
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/effect_rules.h"
 #include "core/ports.h"
 
 namespace marblehub::core {
@@ -89,6 +90,7 @@
   void redirect(MoveReason reason);
   void redirect_now(MoveReason reason);
   void drop_attempt() { attempt_.reset(); }
+  bool may_have_run() const { return possible_run_ || (attempt_ && !attempt_->proved_not_run()); }
 
   Dispatcher& dispatcher_;
   const std::uint64_t id_;
@@ -98,7 +100,8 @@
   std::unique_ptr<Attempt> attempt_;
   State state_ = State::waiting;
   int attempts_ = 0;
-  bool withheld_ = false;  // the policy's last attempt was not begun: the client has left
+  bool withheld_ = false;                     // the policy's last attempt was not begun: the client has left
+  std::unique_ptr<DedupGroup> possible_run_;  // of the first ended attempt that may have been executed
   std::shared_ptr<const std::set<std::string>> allowed_workers_;  // null: all workers
   std::string worker_, address_;                                  // of the latest attempt
   Time attempt_started_at_ = 0, deadline_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -65,6 +65,9 @@
   virtual void deliver(std::string_view bytes) = 0;  // sends the client's bytes to the worker
   virtual void hold(bool on) = 0;                    // stops or resumes reading from the worker
   virtual void finish(CloseKind close_kind) = 0;     // the client's side has closed; destroyed right after
+  /// Whether it is certain that the worker has not executed the call, and will not once the attempt is
+  /// destroyed.
+  virtual bool proved_not_run() const { return false; }
   /// Whether a time-out counts as a failure of the worker. False before the call has been sent, and for calls
   /// that may be forged: a flood of those would otherwise mark every worker as failed.
   virtual bool timeout_blames_worker() const { return true; }
--- a/src/core/worker_directory.cpp
+++ b/src/core/worker_directory.cpp
@@ -33,6 +33,8 @@
       worker.address = entry.address;
       worker.address_changed_at = written_at;
     }
+    worker.zone = entry.backend.zone;
+    worker.cell = entry.backend.cell;
     set_health(worker, entry.backend.health, written_at);
     named.insert(entry.backend.address);
     log_entry(entry.backend, now);
--- a/src/core/worker_directory.h
+++ b/src/core/worker_directory.h
@@ -19,6 +19,8 @@
     policy::Health health = policy::Health::serving;
     Time leaving_since = 0;       // when it was first listed as draining or deleted
     Time address_changed_at = 0;  // when it was listed with another address than before
+    std::string zone = {};
+    std::int64_t cell = -1;  // of workers that deduplicate requests among each other; -1: none
   };
   using Workers = std::unordered_map<std::string, Worker>;  // by name
 
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -103,6 +103,8 @@
     if (stream_) stream_->set_reading(!on);
   }
   bool request_sent() const { return request_written_ && stream_ && stream_->backlog() == 0; }
+  // Whether the request's last byte cannot have reached the worker.
+  bool request_unsent() const { return !request_written_ || (stream_ && stream_->backlog() > 0); }
   void finish(CloseKind ending) {
     Stream::end(std::move(stream_), established_ ? ending : CloseKind::aborted);
   }
@@ -199,7 +201,7 @@
   void deliver(std::string_view bytes) override { link_->deliver(bytes); }
   void hold(bool on) override { link_->hold(on); }
   void finish(CloseKind ending) override { link_->finish(ending); }
-  bool timeout_blames_worker() const override { return link_->request_sent(); }
+  bool proved_not_run() const override { return link_->request_unsent(); }
 
  private:
   Loop& loop_;
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -20,9 +20,9 @@
 // Delay assumed for a backend that has reset a connection, in objectives.
 constexpr double kResetDelayObjectives = 2;
 
-// Whether the attempt cannot have been executed: it was not sent, or not accepted by the backend.
-bool never_ran(Outcome outcome) {
-  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent;
+RejectReason rejection_reason(const Request& request) {
+  return request.history.execution() == Execution::not_sent ? RejectReason::expired
+                                                            : RejectReason::attempts_failed;
 }
 
 }  // namespace
@@ -69,7 +69,8 @@
   Request& request = add_request(event.request);
   request.attempts = 1;
   request.backend = index;
-  request.in_flight = request.open = true;
+  request.history.begin(index, deps_.context.now);
+  request.open = true;
   add_held_connection(deps_.backends[index], request);
 }
 
@@ -183,22 +184,28 @@
 void RequestHandler::submit(std::uint64_t id, Request& request, int index, Time timeout) {
   request.attempts += 1;
   request.backend = index;
-  request.in_flight = true;
   request.sent_at = deps_.context.now;
+  request.history.begin(index, request.sent_at);
   request.tried.push_back(index);
   deps_.context.emit(Submit{id, deps_.backends[index].address, deps_.context.now + timeout});
 }
 
 // ---- Answers
 
-// Sends the final answer. A rejection is sent only if a retry by the client cannot execute the request twice.
+// Sends the final answer, with a random delay before a retry.
 void RequestHandler::reject_or_fail(std::uint64_t id, Request& request) {
-  if (deps_.rules.harmless_to_repeat(request)) {
-    Time max_retry_after = deps_.context.settings.max_retry_after_us;
-    RejectReason reason = request.attempts == 0 ? RejectReason::expired : RejectReason::attempts_failed;
-    return reject(id, request, deps_.context.random.up_to(max_retry_after / 4), reason);
-  }
-  fail(id, request);
+  if (!deps_.rules.may_reject(request)) return fail(id, request);
+  Time max_retry_after = deps_.context.settings.max_retry_after_us;
+  reject(id, request, deps_.context.random.up_to(max_retry_after / 4), rejection_reason(request));
+}
+
+void RequestHandler::on(const EndRequestEvent& event) {
+  auto it = deps_.requests.requests.find(event.id);
+  if (it == deps_.requests.requests.end() || it->second.open || it->second.answered) return;
+  Request& request = it->second;
+  if (request.history.in_flight()) end_attempt(request, event.attempt_outcome);
+  if (!deps_.rules.may_reject(request)) return fail(event.id, request);
+  reject(event.id, request, 0, rejection_reason(request));
 }
 
 void RequestHandler::fail(std::uint64_t id, Request& request) {
@@ -214,7 +221,7 @@
 void RequestHandler::end_request(std::uint64_t id, Request& request) {
   request.answered = true;
   deps_.resumptions.remove(id);
-  if (!request.in_flight) deps_.requests.requests.erase(id);
+  if (!request.history.in_flight()) deps_.requests.requests.erase(id);
 }
 
 // ---- Attempt results
@@ -235,24 +242,23 @@
 void RequestHandler::on(const ResultEvent& event) {
   Request* request = deps_.requests.find_in_flight(event.id, event.attempt);
   if (!request) return;
-  Backend& backend = deps_.backends[request->backend];
-  request->in_flight = false;
-  if (!request->open) end_setup(*request);
-  backend.remove_connection(*request, deps_.groups);
-  apply_result(backend, event, *request);
+  end_attempt(*request, event.outcome);
+  apply_result(deps_.backends[request->backend], event, *request);
   if (event.terminal || request->answered || request->open) {
     deps_.resumptions.remove(event.id);
     deps_.requests.requests.erase(event.id);
     return;
   }
-  if (!never_ran(event.outcome) && request->may_have_run_at < 0) {
-    request->may_have_run_at = request->sent_at;
-    request->may_have_run_on = request->backend;
-  }
   deps_.resumptions.attempt_failed(event.id);
   place(event.id, *request);
 }
 
+void RequestHandler::end_attempt(Request& request, Outcome outcome) {
+  request.history.end(outcome);
+  if (!request.open) end_setup(request);
+  deps_.backends[request.backend].remove_connection(request, deps_.groups);
+}
+
 void RequestHandler::end_setup(const Request& request) {
   if (request.resumes) return;  // it took no part in the limit
   SetupLimiter& limiter = limiter_of(request);
@@ -309,7 +315,7 @@
       continue;
     }
     Request& request = it->second;
-    if (!request.in_flight && now >= request.report_wait_until)
+    if (!request.history.in_flight() && now >= request.report_wait_until)
       place(id, request);
     else if (now >= request.deadline - kSweepInterval / 4)
       reject_or_fail(id, request);  // the result of the attempt is overdue, and the client must be answered
--- a/src/policy/requests/request_handler.h
+++ b/src/policy/requests/request_handler.h
@@ -43,6 +43,7 @@
   void on(const ResultEvent& event);
   void on(const ConnectionUpdateEvent& event);
   void on(const ClientGoneEvent& event);
+  void on(const EndRequestEvent& event);
 
   /// Places waiting requests and answers those past their deadline. Called once per sweep.
   void process_waiting();
@@ -65,6 +66,7 @@
   void anticipate_load(Backend& backend, const Request& request) const;
   void add_held_connection(Backend& backend, Request& request);
 
+  void end_attempt(Request& request, Outcome outcome);
   void end_setup(const Request& request);
   void apply_result(Backend& backend, const ResultEvent& event, const Request& request);
   void reject_or_fail(std::uint64_t id, Request& request);
--- a/src/policy/requests/retry_rules.cpp
+++ b/src/policy/requests/retry_rules.cpp
@@ -6,28 +6,27 @@
   if (repeats_unrestricted(request)) return true;
   const RequestClass& request_class = class_of(request);
   return request_class.repeat == Repeat::keyed &&
-         context_.now <= request.may_have_run_at + request_class.dedup_window_us;
+         context_.now <= request.history.first_possible_run()->sent_at + request_class.dedup_window_us;
 }
 
 bool RetryRules::allowed(const Backend& backend, const Request& request) const {
   if (!backend.listed || backend.draining || !repeatable(request)) return false;
   if (request.allowed_backends && !request.allowed_backends->count(backend.address)) return false;
   if (repeats_unrestricted(request)) return true;
-  const Backend& first = backends_[request.may_have_run_on];
+  const Backend& first = backends_[request.history.first_possible_run()->backend];
   switch (class_of(request).dedup_scope) {
     case DedupScope::zone:
       return backend.zone == first.zone;
     case DedupScope::cell:
-      return backend.cell == first.cell;
+      return &backend == &first || (backend.cell >= 0 && backend.cell == first.cell);
     case DedupScope::all:
       return true;
   }
   return true;
 }
 
-bool RetryRules::harmless_to_repeat(const Request& request) const {
-  bool may_have_run = request.may_have_run_at >= 0 || request.in_flight;
-  if (!may_have_run) return true;
+bool RetryRules::may_reject(const Request& request) const {
+  if (request.history.execution() != Execution::may_have_run) return true;
   const RequestClass& request_class = class_of(request);
   if (request_class.repeat == Repeat::safe) return true;
   return request_class.repeat == Repeat::keyed && request_class.dedup_scope == DedupScope::all;
--- a/src/policy/requests/retry_rules.h
+++ b/src/policy/requests/retry_rules.h
@@ -30,12 +30,13 @@
   /// Whether the request may be sent to this backend.
   bool allowed(const Backend& backend, const Request& request) const;
 
-  /// Whether the client may safely retry: no attempt may have been executed, or repeats are harmless.
-  bool harmless_to_repeat(const Request& request) const;
+  /// Whether a rejection is true, which tells the client that it may safely retry: no attempt may have been
+  /// executed, or all backends discard repeats.
+  bool may_reject(const Request& request) const;
 
  private:
   bool repeats_unrestricted(const Request& request) const {
-    return request.may_have_run_at < 0 || class_of(request).repeat == Repeat::safe;
+    return !request.history.first_possible_run() || class_of(request).repeat == Repeat::safe;
   }
 
   const Context& context_;
--- a/src/policy/state/request.h
+++ b/src/policy/state/request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "marblehub/policy.h"
+#include "policy/state/attempt_history.h"
 
 namespace marblehub::policy {
 
@@ -23,19 +24,17 @@
   BackendSet allowed_backends;
   double load = 1;  // 1 is an average connection
 
-  int attempts = 0;        // started so far
-  int backend = -1;        // index of the backend of the latest attempt
-  Time sent_at = 0;        // start of the latest attempt
-  Time time_share = 0;     // time allotted to the latest attempt if further attempts may follow
-  bool in_flight = false;  // the latest attempt has no result yet
-  bool counted = false;    // included in the connection count of its backend
-  bool open = false;       // the connection is established
-  bool answered = false;   // no further action is emitted for this request
-  bool resumes = false;    // its backend holds the connection since before the start
-
-  Time may_have_run_at = -1;  // start of the first attempt that may have been executed; -1: none
-  int may_have_run_on = -1;   // index of the backend of that attempt
-  std::vector<int> tried;     // indices of the backends of all attempts
+  int attempts = 0;       // started so far
+  int backend = -1;       // index of the backend of the latest attempt
+  Time sent_at = 0;       // start of the latest attempt
+  Time time_share = 0;    // time allotted to the latest attempt if further attempts may follow
+  bool counted = false;   // included in the connection count of its backend
+  bool open = false;      // the connection is established
+  bool answered = false;  // no further action is emitted for this request
+  bool resumes = false;   // its backend holds the connection since before the start
+
+  AttemptHistory history;
+  std::vector<int> tried;  // indices of the backends of all attempts
 
   int report_waits = 0;        // number of load reports that it has waited for
   Time report_wait_until = 0;  // end of the current wait for a load report
--- a/src/policy/state/request_table.h
+++ b/src/policy/state/request_table.h
@@ -23,7 +23,7 @@
     auto it = requests.find(id);
     if (it == requests.end()) return nullptr;
     Request& request = it->second;
-    return request.in_flight && request.attempts == attempt + 1 ? &request : nullptr;
+    return request.history.in_flight() && request.attempts == attempt + 1 ? &request : nullptr;
   }
 
   /// Counts open connections and unanswered requests; does not set Counts::down.
--- a/src/quic/flow.cpp
+++ b/src/quic/flow.cpp
@@ -85,12 +85,14 @@
 }
 
 void Flow::overload_reply(Time pause) {
-  close_call(pause > 0 ? fmt::format("busy, come again after {} ms", (pause + 999) / 1000) : "busy");
+  close_call(kConnectionRefused,
+             pause > 0 ? fmt::format("busy, come again after {} ms", (pause + 999) / 1000) : "busy");
 }
 
-void Flow::failed(std::string_view) { close_call("failed"); }
+// Not CONNECTION_REFUSED, which would tell the client that no worker has processed the call.
+void Flow::failed(std::string_view) { close_call(kInternalError, "failed"); }
 
-void Flow::close_call(std::string_view reason) {
+void Flow::close_call(std::uint64_t error, std::string_view reason) {
   exchange = nullptr;
   last_used = front.loop_.now();
   if (routed_by_address) {  // without its Initial keys no CONNECTION_CLOSE can be sent
@@ -102,8 +104,7 @@
   handshake_state->flight = {};
   header.destination = handshake_state->initial_keys_id;
   header.source = client_source;
-  std::string& close_packet = handshake_state->close_packet =
-      connection_close_packet(header, kConnectionRefused, reason);
+  std::string& close_packet = handshake_state->close_packet = connection_close_packet(header, error, reason);
   front.closes_.add();
   if (allow_reply(close_packet.size())) front.send_to_client(client, close_packet);
 }
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -127,7 +127,8 @@
   Time last_used = 0;
 
  private:
-  void close_call(std::string_view reason);
+  // Answers the client with CONNECTION_CLOSE; `error` is a code of RFC 9000, 20.1.
+  void close_call(std::uint64_t error, std::string_view reason);
 };
 
 }  // namespace marblehub::quic
--- a/tools/ci/check_sources.py
+++ b/tools/ci/check_sources.py
@@ -24,7 +24,7 @@
     "config": {"marblehub"},
     "log": {"config"},
     "check": set(),
-    "core": {"marblehub", "config", "log"},
+    "core": {"marblehub", "check", "config", "log"},
     "metrics": {"core"},
     "net": {"check", "config", "log", "core", "metrics"},
     "remote_write": {"config", "log", "core", "metrics", "net"},
