Take a closed QUIC port for a proof only if every datagram of the attempt met it

Cause: Front::handle_closed_port reported connect_failed, which proves that nothing ran, for each pending call of a worker whose port was found closed. The error is of one datagram, here of the client's repetition; the first one had arrived.

Ruled out: the policy (connect_failed does prove it on TCP), and the client, which repeats its datagram as RFC 9002 has it.

Change: connected sockets ask for returned datagrams (IP_RECVERR), which quote the datagram that met the closed port. Delivery counts them for each attempt; behind proxy-v2 they are told apart by client address and connection ids. connect_failed needs that all came back, else it is reset. A Retry proves it of the one datagram that it answers. src/quic/closed_ports.cpp is split off worker_side.cpp. A send that a pending error refused is made again, so a flight's second datagram is no longer lost.

--- a/src/quic/datagrams.cpp
+++ b/src/quic/datagrams.cpp
@@ -1,5 +1,6 @@
 #include "quic/datagrams.h"
 
+#include <linux/errqueue.h>
 #include <netinet/ip.h>
 #include <netinet/udp.h>
 
@@ -13,6 +14,14 @@
 constexpr std::size_t kMaxSegments = 60;           // in one message with UDP_SEGMENT; the kernel allows 64
 constexpr std::size_t kMaxSegmentedBytes = 64000;  // bytes of such a message; the kernel allows 65,507
 
+constexpr std::size_t kMaxQuotedBytes = 1024;   // of a returned datagram; Linux quotes up to 520
+constexpr std::size_t kErrorControlSize = 256;  // an extended error and the address of its sender
+
+// Whether a send may fail with this error because of an ICMP message about an earlier datagram.
+bool is_icmp_error(int error) {
+  return error == ECONNREFUSED || error == EHOSTUNREACH || error == ENETUNREACH;
+}
+
 // Whether the kernel supports UDP_SEGMENT; cleared by the first failed send.
 bool segmentation_supported = true;
 
@@ -82,10 +91,38 @@
   net::Fd fd = open_socket(to.family());
   sockaddr_in6 name;
   socklen_t size = to.write(name);
+  if (to.family() == AF_INET6) {
+    set(fd.get(), IPPROTO_IPV6, IPV6_RECVERR, 1);
+  } else {
+    set(fd.get(), IPPROTO_IP, IP_RECVERR, 1);
+  }
   if (fd && ::connect(fd.get(), reinterpret_cast<sockaddr*>(&name), size) != 0) fd.reset();
   return fd;
 }
 
+void read_returned(int fd, const std::function<void(const ReturnedDatagram&)>& each) {
+  std::array<char, kMaxQuotedBytes> buffer;
+  alignas(cmsghdr) std::array<char, kErrorControlSize> control;
+  for (;;) {
+    iovec part{buffer.data(), buffer.size()};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control.data();
+    message.msg_controllen = control.size();
+    ssize_t size = ::recvmsg(fd, &message, MSG_ERRQUEUE | MSG_DONTWAIT);
+    if (size < 0) return;
+    for (cmsghdr* c = CMSG_FIRSTHDR(&message); c; c = CMSG_NXTHDR(&message, c)) {
+      bool is_error = (c->cmsg_level == IPPROTO_IP && c->cmsg_type == IP_RECVERR) ||
+                      (c->cmsg_level == IPPROTO_IPV6 && c->cmsg_type == IPV6_RECVERR);
+      if (!is_error) continue;
+      sock_extended_err error;
+      std::memcpy(&error, CMSG_DATA(c), sizeof error);
+      each({static_cast<int>(error.ee_errno), {buffer.data(), static_cast<std::size_t>(size)}});
+    }
+  }
+}
+
 Receiver::Receiver() : buffers_(std::make_unique_for_overwrite<char[]>(kBatchSize * kBufferSize)) {
   for (std::size_t i = 0; i < kBatchSize; ++i) {
     iovecs_[i] = {buffers_.get() + i * kBufferSize, kBufferSize};
@@ -192,8 +229,9 @@
       }
       if (n < 0 && errno == EINTR) continue;
       // The error belongs to an earlier datagram; this one was not sent.
-      if (n < 0 && errno == ECONNREFUSED && !error_reported) {
-        result.port_closed = error_reported = true;
+      if (n < 0 && is_icmp_error(errno) && !error_reported) {
+        error_reported = true;
+        result.port_closed = result.port_closed || errno == ECONNREFUSED;
         continue;
       }
       if (n < 0 && datagram_counts[done] > 1 && (errno == EINVAL || errno == EIO) && segmentation_supported) {
@@ -213,7 +251,7 @@
   return result;
 }
 
-void send_now(int fd, std::string_view header, std::string_view payload, const Endpoint* to) {
+bool send_now(int fd, std::string_view header, std::string_view payload, const Endpoint* to) {
   iovec iovecs[2] = {{const_cast<char*>(header.data()), header.size()},
                      {const_cast<char*>(payload.data()), payload.size()}};
   msghdr m{};
@@ -224,7 +262,8 @@
     m.msg_name = &name;
     m.msg_namelen = to->write(name);
   }
-  ::sendmsg(fd, &m, MSG_NOSIGNAL);
+  if (::sendmsg(fd, &m, MSG_NOSIGNAL) >= 0) return true;
+  return is_icmp_error(errno) && ::sendmsg(fd, &m, MSG_NOSIGNAL) >= 0;
 }
 
 }  // namespace marblehub::quic
--- a/src/quic/datagrams.h
+++ b/src/quic/datagrams.h
@@ -27,6 +27,16 @@
 net::Fd listening_socket(const Endpoint& at);
 net::Fd connected_socket(const Endpoint& to);
 
+/// A datagram that came back with an ICMP error.
+struct ReturnedDatagram {
+  int error = 0;           // an errno value; ECONNREFUSED: the port was closed
+  std::string_view bytes;  // its beginning, as far as the error quotes it
+};
+
+/// Reads and removes the errors of a socket made by connected_socket, in the order in which they arrived.
+/// Each is for one datagram.
+void read_returned(int fd, const std::function<void(const ReturnedDatagram&)>& each);
+
 /// Receive buffers, shared by all sockets of a front, which are read one after another.
 class Receiver {
  public:
@@ -82,7 +92,8 @@
   std::size_t count_ = 0;
 };
 
-/// Sends one datagram at once, outside of any batch; errors are ignored.
-void send_now(int fd, std::string_view header, std::string_view payload, const Endpoint* to = nullptr);
+/// Sends one datagram at once, outside of any batch. Returns whether the system took it; errors of earlier
+/// datagrams are passed over.
+bool send_now(int fd, std::string_view header, std::string_view payload, const Endpoint* to = nullptr);
 
 }  // namespace marblehub::quic
--- a/src/quic/flow.cpp
+++ b/src/quic/flow.cpp
@@ -38,6 +38,7 @@
   void deliver(std::string_view) override {}
   void hold(bool) override {}
   void finish(CloseKind) override {}
+  bool proved_not_run() const override { return flow_.reached_no_worker(); }
   bool timeout_blames_worker() const override { return flow_.timeout_blames_worker(); }
 
  private:
@@ -129,6 +130,7 @@
 std::unique_ptr<core::Attempt> Flow::begin_attempt(core::Exchange& to, const std::string& worker,
                                                    const std::string&, Time) {
   auto attempt = std::make_unique<Attempt>(*this, to);
+  handshake_state->delivery = {};
   front.refresh_workers();
   WorkerTable::Worker* target = front.workers_.find_by_name(worker);
   if (!target || !target->address.is_specified()) {
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -68,6 +68,16 @@
   Path *older = nullptr, *newer = nullptr;
 };
 
+/// The datagrams of one attempt, and how many of them certainly had no effect at the worker.
+struct Delivery {
+  std::size_t sent = 0;
+  std::size_t returned = 0;  // met a closed port, or were answered by a Retry
+
+  bool none_arrived() const { return returned >= sent; }
+  /// A worker's Retry proves that it has not processed the datagram that it answers, if that is certain.
+  void answered_by_retry() { returned += sent - returned == 1; }
+};
+
 /// A call from the client's first Initial, then the connection established from it. Shared with the core as
 /// both sides of its exchange.
 class Flow final : public core::ClientSide, public core::WorkerSide {
@@ -95,6 +105,10 @@
   // bytes received until its address is validated (RFC 9000, 8.1).
   bool allow_reply(std::size_t bytes);
   bool timeout_blames_worker() const;
+  // Whether it is certain that the pending attempt had no effect at its worker.
+  bool reached_no_worker() const {
+    return !is_established && handshake_state && handshake_state->delivery.none_arrived();
+  }
   bool refused() const { return handshake_state && !handshake_state->close_packet.empty(); }
   bool has_initial_destination(std::string_view id) const {
     return first_destination == id || (original_destination && *original_destination == id);
@@ -109,6 +123,7 @@
     // The id that its Initial keys are derived from; a worker's Retry changes it.
     ConnectionId initial_keys_id;
     std::string close_packet;  // sent to a client whose call has failed
+    Delivery delivery;         // of the pending attempt
   };
   std::unique_ptr<HandshakeState> handshake_state;
   // The destination id of the first Initial, where a Retry replaced it.
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -4,8 +4,8 @@
 // docs/quic.md describes its features and limits.
 //
 // front.cpp: datagrams from clients. maintenance.cpp: reload and the periodic sweep. worker_side.cpp: sockets
-// to workers and datagrams from them. tables.cpp: the tables of flows, connection ids and paths.
-// table_checks.cpp: their consistency. flow.cpp: the state of a call.
+// to workers and datagrams from them. closed_ports.cpp: closed ports of workers. tables.cpp: the tables of
+// flows, connection ids and paths. table_checks.cpp: their consistency. flow.cpp: the state of a call.
 #pragma once
 
 #include <map>
@@ -98,15 +98,19 @@
   Flow* find_flow(Upstream& upstream, const Endpoint& client, std::string_view id);
   void forward_to_client(const Endpoint& client, Path* path, std::string_view bytes, unsigned char ecn);
   void handle_control(Upstream& upstream, const Endpoint& client, std::string_view message);
-  void handle_closed_port(Upstream& upstream);
-  void fail_call(Flow& flow, core::Outcome outcome);
   Upstream* get_upstream(Path& path);
   void send_to_worker(Path& path, std::string_view bytes, unsigned char ecn);
   void send_handshake_datagram(Flow& flow, std::string_view bytes);
-  void send_control(Path& path, const std::string& message);
+  bool send_control(Path& path, const std::string& message);  // whether the system took it
   ProxyHeader proxy_header_for(const Path& path) const { return {false, path.client, listen_, {}, {}}; }
   void flush();
 
+  // ---- closed_ports.cpp
+  void handle_closed_port(Upstream& upstream);
+  bool collect_returned(Upstream& upstream);
+  Flow* flow_of_returned(Upstream& upstream, std::string_view bytes);
+  static void fail_call(Flow& flow, core::Outcome outcome);
+
   // ---- tables.cpp
   Path* make_path(const Endpoint& client, WorkerTable::Worker& worker);
   Path* find_or_make_path(const Endpoint& client, WorkerTable::Worker& worker);
--- a/src/quic/initial.h
+++ b/src/quic/initial.h
@@ -10,7 +10,8 @@
 
 namespace marblehub::quic {
 
-constexpr std::uint64_t kInternalError = 0x01, kConnectionRefused = 0x02, kInvalidToken = 0x0b;  // RFC 9000, 20.1
+constexpr std::uint64_t kInternalError = 0x01, kConnectionRefused = 0x02,
+                        kInvalidToken = 0x0b;  // RFC 9000, 20.1
 
 /// The packet protection key, IV and header protection key of one direction (RFC 9001, 5.1).
 struct InitialKeys {
--- a/src/quic/packet.cpp
+++ b/src/quic/packet.cpp
@@ -61,6 +61,22 @@
   return static_cast<char>(0xc0 | type_bits_of(type, version) << 4 | (low & 0x0f));
 }
 
+std::optional<LongHeaderIds> long_header_ids(std::string_view packet) {
+  constexpr std::size_t ids_offset = 5;  // behind the first byte and the version
+  if (packet.size() < ids_offset || !(packet[0] & 0x80)) return std::nullopt;
+  packet.remove_prefix(ids_offset);
+  auto consume_id = [&packet]() -> std::optional<std::string_view> {
+    if (packet.empty() || packet.size() <= byte(packet[0])) return std::nullopt;
+    std::string_view id = packet.substr(1, byte(packet[0]));
+    packet.remove_prefix(1 + id.size());
+    return id;
+  };
+  auto destination = consume_id();
+  auto source = destination ? consume_id() : std::nullopt;
+  if (!source) return std::nullopt;
+  return LongHeaderIds{*destination, *source};
+}
+
 std::optional<Header> parse(std::string_view datagram) {
   if (datagram.empty()) return std::nullopt;
   std::uint8_t first = byte(datagram[0]);
--- a/src/quic/packet.h
+++ b/src/quic/packet.h
@@ -44,6 +44,15 @@
 /// Parses the header of a datagram's first packet; none where it violates the rules of its version.
 std::optional<Header> parse(std::string_view datagram);
 
+/// The connection ids of a packet with a long header.
+struct LongHeaderIds {
+  std::string_view destination, source;
+};
+
+/// Reads the connection ids of a packet that may be cut off behind them; none for a short header, and where
+/// they are incomplete.
+std::optional<LongHeaderIds> long_header_ids(std::string_view packet);
+
 /// The length of the datagram's prefix that belongs to the connection of its first packet: a coalesced packet
 /// with another destination connection id is dropped (RFC 9000, 12.2), together with all that follows it.
 std::size_t same_connection_length(std::string_view datagram, const Header& first);
--- a/src/quic/worker_side.cpp
+++ b/src/quic/worker_side.cpp
@@ -97,18 +97,21 @@
     }
     size = write_proxy_header(header, fields);
   } else if (after_retry) {
-    send_control(*flow.path,
-                 fmt::format("RETRIED {} {}", hex(flow.first_destination), hex(*flow.original_destination)));
+    flow.handshake_state->delivery.sent += send_control(
+        *flow.path,
+        fmt::format("RETRIED {} {}", hex(flow.first_destination), hex(*flow.original_destination)));
   }
-  send_now(upstream->fd(), std::string_view(header.data(), size), bytes);
+  flow.handshake_state->delivery.sent +=
+      send_now(upstream->fd(), std::string_view(header.data(), size), bytes);
 }
 
-void Front::send_control(Path& path, const std::string& message) {
+bool Front::send_control(Path& path, const std::string& message) {
   Upstream* upstream = get_upstream(path);
-  if (!upstream) return;
+  if (!upstream) return false;
   std::array<char, kMaxProxyHeaderSize> header;
   std::size_t size = upstream->dedicated_path ? 0 : write_proxy_header(header, proxy_header_for(path));
-  send_now(upstream->fd(), std::string_view(header.data(), size), std::string(kControlPrefix) + message);
+  return send_now(upstream->fd(), std::string_view(header.data(), size),
+                  std::string(kControlPrefix) + message);
 }
 
 void Front::flush() {
@@ -133,10 +136,16 @@
 void Front::receive_from_worker(Upstream& upstream) {
   now_ = loop_.now();
   for (int i = 0; i < kMaxBatches && upstream.is_open(); ++i) {
-    auto status = receiver_.receive(
-        upstream.fd(), true, [this, &upstream](const Datagram& d) { handle_worker_datagram(upstream, d); });
+    bool received_any = false;
+    auto status = receiver_.receive(upstream.fd(), true, [&](const Datagram& datagram) {
+      received_any = true;
+      handle_worker_datagram(upstream, datagram);
+    });
     flush();
-    if (status == Receiver::Status::port_closed) handle_closed_port(upstream);
+    // An event without a datagram announces an error, which a send may have consumed but for its queue entry.
+    bool port_closed = status == Receiver::Status::port_closed;
+    if (!port_closed && !received_any && upstream.is_open()) port_closed = collect_returned(upstream);
+    if (port_closed) handle_closed_port(upstream);
     if (status != Receiver::Status::more) break;
   }
   now_ = 0;
@@ -240,6 +249,7 @@
         flow->original_destination = std::make_unique<ConnectionId>(flow->first_destination);
       flow->handshake_state->initial_keys_id = header->source;
       flow->bound_by_retry = true;
+      flow->handshake_state->delivery.answered_by_retry();
       link_id(*flow, header->source);
     }
     if (!flow->allow_reply(bytes.size())) return amplification_stops_.add();
@@ -315,28 +325,4 @@
   }
 }
 
-// ---- Closed ports of workers -----------------------------------------------------------------------
-
-void Front::fail_call(Flow& flow, Outcome outcome) {
-  if (flow.exchange) flow.exchange->worker_ended(outcome, CloseKind::aborted);
-}
-
-void Front::handle_closed_port(Upstream& upstream) {
-  workers_lost_.add();
-  WorkerTable::Worker& worker = upstream.worker;
-  if (!worker.port_closed) log::info("quic: the port of {} is closed", worker.name);
-  workers_.mark_port_closed(worker, loop_.now());
-  std::vector<Flow*> affected;  // only the sweep frees flows
-  if (upstream.dedicated_path) {
-    for (Flow* flow = upstream.dedicated_path->flow; flow; flow = flow->next_on_path)
-      affected.push_back(flow);
-  } else {
-    for (auto& [key, flow] : flows_)
-      if (flow->path && &flow->path->worker == &worker) affected.push_back(flow.get());
-  }
-  // Without a reply the worker has not seen the call; an established connection has ended with the worker.
-  for (Flow* flow : affected)
-    if (flow->path) fail_call(*flow, flow->is_established ? Outcome::reset : Outcome::connect_failed);
-}
-
 }  // namespace marblehub::quic
--- a/tests/quic/testbed.h
+++ b/tests/quic/testbed.h
@@ -84,6 +84,7 @@
     auto header = parse(bytes);
     if (!header) return;
     if (header->type == PacketType::initial) return receive_initial(bytes, *header, from);
+    if (header->type != PacketType::short_header) return;  // 0-RTT, which it has no keys for
     std::string id(header->destination.substr(0, 11)), request(header->destination.substr(11));
     if (!clients.count(id)) return;
     clients[id].second = from;
@@ -140,8 +141,16 @@
     std::int64_t at;
     std::string id, request;
   };
+  // Ends as a process that is killed: its port is closed, and what it was sent is lost.
+  void crash() {
+    port = port_of(udp.fd);
+    ::close(std::exchange(udp.fd, -1));
+  }
+
   UdpSocket udp;
   std::string name, server_id;
+  int group = 0;  // the deduplication group
+  int port = 0;   // of a worker that has crashed
   bool silent = false, busy = false, has_id_config = true, sends_retry = false, behind_proxy = false;
   std::string retry_id;  // the source id of the latest Retry
   int initial_count = 0, answers = 0, issued_ids = 0;
@@ -219,15 +228,17 @@
 
 /// The started program with its quic.json, stub workers and clients, and a registry that lists the workers.
 struct QuicTestbed {
-  // `changes`: keys of quic.json with other values than the usual ones.
+  // `changes`: keys of quic.json with other values than the usual ones. `effect`: the same of the request
+  // class. Two workers each share a deduplication group.
   explicit QuicTestbed(std::vector<std::string> names, int deadline_ms = 1500, rlim_t files = 1024,
-                       const json& changes = json::object()) {
+                       const json& changes = json::object(), const json& effect = json::object()) {
     registry = bound_socket(SOCK_STREAM | SOCK_NONBLOCK);
     ::listen(registry, 8);
     json known = json::array();
     for (auto& name : names) {
       workers.push_back(std::make_unique<StubWorker>(name));
       workers.back()->behind_proxy = changes.value("forwarding", "socket") == "proxy-v2";
+      workers.back()->group = static_cast<int>(workers.size() - 1) / 2;
       known.push_back(entry(*workers.back(), "ready"));
     }
     port = free_port(SOCK_DGRAM);
@@ -247,6 +258,7 @@
     std::ofstream(file) << quic;
     json s = settings();
     s["limits"]["probes"] = false;  // the stub workers do not answer probes
+    s["request_classes"][0].update(effect);
     program = std::make_unique<Program>(known, s, port_of(registry), file, "/nonexistent", files);
   }
   ~QuicTestbed() {
@@ -255,10 +267,10 @@
     std::remove(file.c_str());
   }
   static json entry(const StubWorker& w, const char* status) {
-    return {{"name", w.name}, {"address", loopback_address_text(port_of(w.udp.fd))},
-            {"zone", "a"},    {"type", "m"},
-            {"group", 0},     {"status", status},
-            {"weight", 1.0},  {"since_ms", 0}};
+    return {{"name", w.name},   {"address", loopback_address_text(w.port > 0 ? w.port : port_of(w.udp.fd))},
+            {"zone", "a"},      {"type", "m"},
+            {"group", w.group}, {"status", status},
+            {"weight", 1.0},    {"since_ms", 0}};
   }
   StubClient& client() {
     clients.push_back(std::make_unique<StubClient>(static_cast<int>(clients.size()) + 1, port));
