--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -11,7 +11,7 @@
 
 using namespace marblehub::policy;
 
-constexpr Time kMillisecond = 1000, kSecond = 1'000'000;
+constexpr Time kMillisecond = 1000;
 // Subtracted from the time within which sends to a leaving worker must stop: a list is handled some time
 // after service discovery wrote it.
 constexpr Time kDrainMargin = 100 * kMillisecond;
