--- a/tests/effects_test.cpp
+++ b/tests/effects_test.cpp
@@ -46,7 +46,8 @@
 
   RequestClass effect;
   Time deadline = 0;
-  core::Exchange* exchange = nullptr;
+  core::Exchange* exchange = nullptr;  // until the call is over
+  std::uint64_t id = 0;                // of the exchange; 0: not known yet
   std::vector<SeenAttempt> attempts;
   int answers = 0;
   bool over = false, left = false, resumes = false;
@@ -123,6 +124,7 @@
     beginning = &caller;
     core::Exchange& exchange = dispatcher->accept_call(std::move(call), caller, *this);
     beginning = nullptr;
+    caller.id = exchange.id();
     if (caller.answers == 0) caller.exchange = &exchange;
   }
   void change(Caller& caller) {
@@ -193,8 +195,9 @@
   }
   Caller& caller_of(const core::Exchange& exchange) {
     for (const auto& caller : callers)
-      if (caller->exchange == &exchange) return *caller;
+      if (caller->id == exchange.id()) return *caller;
     REQUIRE(beginning);
+    beginning->id = exchange.id();
     return *beginning;
   }
 
