Keep a keyed call in the group that it was sent to, though its worker changes zone or cell

A lock command keyed by cell or zone whose worker was listed with another cell or zone while the command was out was sent on to the new group, which has never heard of the key, and could run twice.

Cause: RetryRules::allowed compared with the group that the first worker is in now, not the one that it was in when the command was sent. RequestHandler::resume did not ask for the group at all. The assertion recorded the group at the end of the attempt.

Ruled out: late lists; policy and dispatcher take each list in the same event.

Change: an attempt carries zone and cell of the time at which it is submitted, in the policy (AttemptHistory) and in the assertion (Exchange); resume() asks for the group too. A worker in no cell is still alone in its group.

The random test's lists come three times as often and move half of the workers that they name.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -93,7 +93,8 @@
   // The policy decides before all sockets are read, so the client may have left unnoticed.
   exchange.withheld_ = !exchange.client_waiting();
   if (exchange.withheld_) return;  // the client's end is read in this iteration and ends the call
-  if (!repeat_is_allowed(exchange, worker)) {
+  exchange.attempt_group_ = std::make_unique<DedupGroup>(dedup_group_of(workers_, worker));
+  if (!repeat_is_allowed(exchange, *exchange.attempt_group_)) {
     check::report_violation("core", "an attempt outside the group of one that may have run");
     exchange.withheld_ = true;
     return answer_and_close(exchange, Answer::failed, 0);
@@ -109,9 +110,8 @@
   return settings_.classes[static_cast<std::size_t>(exchange.call().request_class)];
 }
 
-bool Dispatcher::repeat_is_allowed(const Exchange& exchange, const std::string& worker) const {
-  return !exchange.possible_run_ ||
-         repeat_allowed(class_of(exchange), *exchange.possible_run_, dedup_group_of(workers_, worker));
+bool Dispatcher::repeat_is_allowed(const Exchange& exchange, const DedupGroup& next) const {
+  return !exchange.possible_run_ || repeat_allowed(class_of(exchange), *exchange.possible_run_, next);
 }
 
 // The worker may have begun to drain, or moved, while the connection to it was being set up. A worker that
@@ -128,6 +128,7 @@
   log::debug("call {} up at {} after {} ms", exchange.id_, exchange.worker_,
              (now() - exchange.attempt_started_at_) / kMillisecond);
   unanswered_ -= 1;
+  exchange.attempt_group_.reset();
   if (connection_observer_) {
     connection_observer_->call_answered(false);
     connection_observer_->connection_established(exchange.id_, exchange.worker_, exchange.call(),
@@ -143,8 +144,7 @@
   counters_.attempt_result(outcome).add();
   log::debug("call {} at {}: {} after {} ms", exchange.id_, exchange.worker_, name_of(outcome),
              (now() - exchange.attempt_started_at_) / kMillisecond);
-  if (!terminal && !proves_not_run(outcome) && !exchange.possible_run_)
-    exchange.possible_run_ = std::make_unique<DedupGroup>(dedup_group_of(workers_, exchange.worker_));
+  if (!terminal && !proves_not_run(outcome)) exchange.record_possible_run();
   ResultEvent event = result_of(exchange, outcome, report, terminal);
   if (terminal) close(exchange);
   notify(std::move(event));
@@ -203,8 +203,7 @@
   const std::uint64_t id = exchange.id_;
   bool unsent = exchange.withheld_ || (exchange.attempt_ && exchange.attempt_->proved_not_run());
   exchange.withheld_ = false;
-  if (exchange.may_have_run() && !exchange.possible_run_)
-    exchange.possible_run_ = std::make_unique<DedupGroup>(dedup_group_of(workers_, exchange.worker_));
+  if (exchange.may_have_run()) exchange.record_possible_run();
   exchange.drop_attempt();
   notify(EndRequestEvent{id, unsent ? Outcome::not_sent : Outcome::cancelled});
   // A call that the policy does not know is answered all the same.
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -121,7 +121,7 @@
   void answer_and_close(Exchange& exchange, Answer answer, Time pause);
   void close(Exchange& exchange);
   void end_call(Exchange& exchange);
-  bool repeat_is_allowed(const Exchange& exchange, const std::string& worker) const;
+  bool repeat_is_allowed(const Exchange& exchange, const DedupGroup& next) const;
   const policy::RequestClass& class_of(const Exchange& exchange) const;
   Exchange* find(std::uint64_t id);
   Exchange* find_waiting(std::uint64_t id);
--- a/src/core/effect_rules.cpp
+++ b/src/core/effect_rules.cpp
@@ -20,9 +20,9 @@
                     const DedupGroup& next) {
   if (request_class.repeat == Repeat::safe) return true;
   if (request_class.repeat == Repeat::unsafe) return false;
-  if (request_class.dedup_scope == DedupScope::all || first.worker == next.worker) return true;
+  if (request_class.dedup_scope == DedupScope::all) return true;
   if (request_class.dedup_scope == DedupScope::zone) return first.zone == next.zone;
-  return first.cell >= 0 && first.cell == next.cell;
+  return first.cell == next.cell && (first.cell >= 0 || first.worker == next.worker);
 }
 
 }  // namespace marblehub::core
--- a/src/core/effect_rules.h
+++ b/src/core/effect_rules.h
@@ -9,7 +9,7 @@
 
 namespace marblehub::core {
 
-/// The workers that deduplicate a request among each other, as known when an attempt at one of them ended.
+/// The workers that deduplicate a request among each other, as listed when an attempt at one of them began.
 struct DedupGroup {
   std::string worker, zone;
   std::int64_t cell = -1;  // -1: none
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/effect_rules.h"
@@ -90,6 +91,10 @@
   void redirect(MoveReason reason);
   void redirect_now(MoveReason reason);
   void drop_attempt() { attempt_.reset(); }
+  // The attempt that ends now may have been executed.
+  void record_possible_run() {
+    if (!possible_run_) possible_run_ = std::move(attempt_group_);
+  }
   bool may_have_run() const { return possible_run_ || (attempt_ && !attempt_->proved_not_run()); }
 
   Dispatcher& dispatcher_;
@@ -100,8 +105,9 @@
   std::unique_ptr<Attempt> attempt_;
   State state_ = State::waiting;
   int attempts_ = 0;
-  bool withheld_ = false;                     // the policy's last attempt was not begun: the client has left
-  std::unique_ptr<DedupGroup> possible_run_;  // of the first ended attempt that may have been executed
+  bool withheld_ = false;                      // the policy's last attempt was not begun: the client has left
+  std::unique_ptr<DedupGroup> attempt_group_;  // of the attempt in flight; null once it is established
+  std::unique_ptr<DedupGroup> possible_run_;   // of the first ended attempt that may have been executed
   std::shared_ptr<const std::set<std::string>> allowed_workers_;  // null: all workers
   std::string worker_, address_;                                  // of the latest attempt
   Time attempt_started_at_ = 0, deadline_;
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -69,7 +69,7 @@
   Request& request = add_request(event.request);
   request.attempts = 1;
   request.backend = index;
-  request.history.begin(index, deps_.context.now);
+  request.history.begin(attempt_at(index));
   request.open = true;
   add_held_connection(deps_.backends[index], request);
 }
@@ -158,7 +158,9 @@
   Resumptions::Step step = deps_.resumptions.next_step(id, request.attempts);
   if (step == Resumptions::Step::wait) return;
   if (step == Resumptions::Step::give_up) return fail(id, request);
-  submit(id, request, deps_.resumptions.backend_of(id), std::min(left, Resumptions::kAttemptTime));
+  const int index = deps_.resumptions.backend_of(id);
+  if (!deps_.rules.in_dedup_group(deps_.backends[index], request)) return fail(id, request);
+  submit(id, request, index, std::min(left, Resumptions::kAttemptTime));
 }
 
 // Raises the utilization by the expected load until the next report. Other balancers are assumed to send to
@@ -181,11 +183,16 @@
   if (!stream) backend.add_connection(request, deps_.groups);  // no EstablishedEvent follows
 }
 
+AttemptHistory::Attempt RequestHandler::attempt_at(int index) const {
+  const Backend& backend = deps_.backends[index];
+  return {index, deps_.context.now, backend.zone, backend.cell};
+}
+
 void RequestHandler::submit(std::uint64_t id, Request& request, int index, Time timeout) {
   request.attempts += 1;
   request.backend = index;
   request.sent_at = deps_.context.now;
-  request.history.begin(index, request.sent_at);
+  request.history.begin(attempt_at(index));
   request.tried.push_back(index);
   deps_.context.emit(Submit{id, deps_.backends[index].address, deps_.context.now + timeout});
 }
--- a/src/policy/requests/request_handler.h
+++ b/src/policy/requests/request_handler.h
@@ -59,6 +59,7 @@
   void place(std::uint64_t id, Request& request);
   void resume(std::uint64_t id, Request& request);
   void submit(std::uint64_t id, Request& request, int index, Time timeout);
+  AttemptHistory::Attempt attempt_at(int index) const;
   bool wait_for_report(Backend& backend, Request& request);
   Time attempt_time_share(const Request& request, Time left) const;
   Time attempt_timeout(const Request& request, Time left, const SetupLimiter& limiter) const;
--- a/src/policy/requests/retry_rules.cpp
+++ b/src/policy/requests/retry_rules.cpp
@@ -12,13 +12,17 @@
 bool RetryRules::allowed(const Backend& backend, const Request& request) const {
   if (!backend.listed || backend.draining || !repeatable(request)) return false;
   if (request.allowed_backends && !request.allowed_backends->count(backend.address)) return false;
+  return in_dedup_group(backend, request);
+}
+
+bool RetryRules::in_dedup_group(const Backend& backend, const Request& request) const {
   if (repeats_unrestricted(request)) return true;
-  const Backend& first = backends_[request.history.first_possible_run()->backend];
+  const AttemptHistory::Attempt& first = *request.history.first_possible_run();
   switch (class_of(request).dedup_scope) {
     case DedupScope::zone:
       return backend.zone == first.zone;
-    case DedupScope::cell:
-      return &backend == &first || (backend.cell >= 0 && backend.cell == first.cell);
+    case DedupScope::cell:  // a backend in no cell is alone in its group
+      return backend.cell == first.cell && (first.cell >= 0 || &backend == &backends_[first.backend]);
     case DedupScope::all:
       return true;
   }
--- a/src/policy/requests/retry_rules.h
+++ b/src/policy/requests/retry_rules.h
@@ -30,6 +30,10 @@
   /// Whether the request may be sent to this backend.
   bool allowed(const Backend& backend, const Request& request) const;
 
+  /// Whether the backend discards a repeat of the request: it is in the group that the first attempt that may
+  /// have been executed was sent to. True where a repeat does no harm.
+  bool in_dedup_group(const Backend& backend, const Request& request) const;
+
   /// Whether a rejection is true, which tells the client that it may safely retry: no attempt may have been
   /// executed, or all backends discard repeats.
   bool may_reject(const Request& request) const;
--- a/src/policy/state/attempt_history.h
+++ b/src/policy/state/attempt_history.h
@@ -1,7 +1,10 @@
 /// What is known of the attempts of one request: whether any of them may have been executed.
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "marblehub/policy.h"
 
@@ -14,14 +17,17 @@
 /// a request may have been executed. An attempt in flight may have been, until its outcome proves otherwise.
 class AttemptHistory {
  public:
-  /// An attempt that was submitted.
+  /// An attempt that was submitted. A backend that changes its zone or cell later takes no part in the
+  /// deduplication of this attempt, so both are those of the time at which it was submitted.
   struct Attempt {
     int backend = -1;  // index
     Time sent_at = 0;
+    std::string zone = {};
+    std::int64_t cell = -1;  // -1: none
   };
 
-  void begin(int backend, Time now) {
-    latest_ = {backend, now};
+  void begin(Attempt attempt) {
+    latest_ = std::move(attempt);
     in_flight_ = true;
   }
 
--- a/tests/effects_test.cpp
+++ b/tests/effects_test.cpp
@@ -17,13 +17,21 @@
 constexpr std::size_t kWorkers = 8, kMaxCalls = 30;
 
 std::string worker_name(std::size_t i) { return "w" + std::to_string(i); }
-std::string zone_of(std::size_t i) { return i < kWorkers / 2 ? "a" : "b"; }
-// The last two workers are in no cell.
-std::int64_t cell_of(std::size_t i) { return i >= kWorkers - 2 ? -1 : static_cast<std::int64_t>(i / 2); }
 
-// An attempt as its worker saw it.
+// The deduplication group of a worker, as listed.
+struct Group {
+  std::string zone;
+  std::int64_t cell = -1;  // -1: none
+};
+// The last two workers are in no cell at first.
+Group first_group_of(std::size_t i) {
+  return {i < kWorkers / 2 ? "a" : "b", i >= kWorkers - 2 ? -1 : static_cast<std::int64_t>(i / 2)};
+}
+
+// An attempt as its worker saw it, and the group of the worker then.
 struct SeenAttempt {
   std::size_t worker = 0;
+  Group group;
   bool delivered = false, turned_away = false, over = false;
   bool may_have_run() const { return delivered && !turned_away; }
 };
@@ -76,6 +84,7 @@
       for (DedupScope scope : {DedupScope::all, DedupScope::zone, DedupScope::cell})
         startup.settings.classes.push_back({"c", 300'000, 150'000, repeat, scope, 400'000, true});
     startup.seed = seed;
+    for (std::size_t i = 0; i < kWorkers; ++i) groups.push_back(first_group_of(i));
     startup.known = list(true);
     dispatcher = std::make_unique<core::Dispatcher>(startup, *this, *this, *this, metrics);
   }
@@ -96,7 +105,7 @@
       dispatcher->probe_result(worker, 5000, random.one_in(4) ? Outcome::timeout : Outcome::served,
                                {static_cast<double>(random.below(10)) / 10});
     if (random.one_in(3)) begin_call();
-    if (random.one_in(60)) dispatcher->list_received(list(random.one_in(2)));
+    if (random.one_in(20)) dispatcher->list_received(list(random.one_in(2)));
     if (random.one_in(400)) dispatcher->end_all();
     for (std::size_t i = 0; i < 4 && !callers.empty(); ++i) change(*random.of(callers));
     for (const auto& caller : callers)
@@ -168,7 +177,8 @@
       if (!snapshot && !random.one_in(3)) continue;
       Health health =
           random.one_in(4) ? random.one_in(2) ? Health::draining : Health::deleted : Health::serving;
-      list.workers.push_back({{health, worker_name(i), zone_of(i), 0, 1, cell_of(i)}, "127.0.0.1:1"});
+      if (random.one_in(2)) groups[i] = first_group_of(random.below(kWorkers));
+      list.workers.push_back({{health, worker_name(i), groups[i].zone, 0, 1, groups[i].cell}, "127.0.0.1:1"});
     }
     return list;
   }
@@ -184,11 +194,13 @@
       CHECK(first.over);
       if (!first.may_have_run() || caller.effect.repeat == Repeat::safe) continue;
       CHECK(caller.effect.repeat == Repeat::keyed);
-      if (caller.effect.dedup_scope == DedupScope::zone) CHECK(zone_of(first.worker) == zone_of(next));
-      if (caller.effect.dedup_scope == DedupScope::cell)
-        CHECK((first.worker == next || (cell_of(next) >= 0 && cell_of(first.worker) == cell_of(next))));
+      if (caller.effect.dedup_scope == DedupScope::zone) CHECK(first.group.zone == groups[next].zone);
+      if (caller.effect.dedup_scope == DedupScope::cell) {
+        CHECK(first.group.cell == groups[next].cell);
+        CHECK((first.worker == next || groups[next].cell >= 0));
+      }
     }
-    caller.attempts.push_back({next});
+    caller.attempts.push_back({next, groups[next]});
     attempts += 1;
     repeats += caller.attempts.size() > 1;
     return std::make_unique<StubAttempt>(caller, !random.one_in(3));
@@ -209,6 +221,7 @@
   Caller* beginning = nullptr;                   // the call that accept_call has not returned yet
   std::unique_ptr<core::Dispatcher> dispatcher;
   std::vector<std::string> probed;
+  std::vector<Group> groups;  // of the workers, as listed last
   int attempts = 0, repeats = 0;
 };
 
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -111,6 +111,28 @@
   }
 }
 
+// Guards against a retry in the group that the backend of the first attempt has moved to since.
+TEST(Rules, AKeyedRequestIsRetriedInTheGroupThatItWasSentTo) {
+  for (DedupScope scope : {DedupScope::zone, DedupScope::cell}) {
+    Settings s = default_settings();
+    s.classes[0] = stream_class(Repeat::keyed, scope);
+    BalancerHarness harness(s);
+    harness.send_full_list(8);
+    std::uint64_t id = harness.request();
+    const int first = std::stoi(harness.submits[0].backend.substr(1));
+    BackendEntry moved = backend_entry(first);
+    moved.zone = first % 2 ? "a" : "b";
+    moved.cell = (first / 2 + 1) % 4;
+    harness.send_list({moved}, EndpointListKind::changes);
+    harness.result(id, Outcome::reset);
+    ASSERT_EQ(harness.submits.size(), 2u);
+    const int second = std::stoi(harness.submits[1].backend.substr(1));
+    EXPECT_NE(second, first);
+    if (scope == DedupScope::zone) EXPECT_EQ(second % 2, first % 2);
+    if (scope == DedupScope::cell) EXPECT_EQ(second / 2, first / 2);
+  }
+}
+
 TEST(Rules, AKeyedRequestIsNotRetriedAfterItsDedupWindow) {
   Settings s = default_settings();
   s.classes[0] = stream_class(Repeat::keyed);
