Take a QUIC worker's refusal or Retry for a proof only of datagrams not sent twice

A lock command of an unsafe class in a first flight whose worker had run it, crashed and come back, and then refused the client's repeat of the flight (BUSY or CONNECTION_REFUSED), was sent on to other workers and ran there again.

Cause: Front took each refusal for Outcome::full, which proves that nothing ran. It proves that of the process that answers, and only if no earlier process of the worker got the datagrams. A Retry was right about this, but counted one datagram alone: a flight of Initial and 0-RTT that it answered was told as one that may have run, so a call that had not was answered as failed.

Ruled out: telling a repeat from the rest of a flight by time; clients repeat after some milliseconds or a second.

Change: Delivery (src/quic/delivery.h) is now the one place that knows of the datagrams of an attempt. A client has repeated itself if an Initial carries no handshake data beyond those before it; then a refusal is Outcome::error and a Retry proves nothing. A returned datagram counts only under the ids in use, with either forwarding.

Guard: calls whose first flight is refused go elsewhere, of one and of two datagrams; before and after. Front::handle_known joins what stood four times.

--- a/src/quic/closed_ports.cpp
+++ b/src/quic/closed_ports.cpp
@@ -14,21 +14,29 @@
   if (flow.exchange) flow.exchange->worker_ended(outcome, CloseKind::aborted);
 }
 
+namespace {
+
+// Whether a returned datagram is one that a worker's Retry has not answered, of the attempt of this call.
+bool belongs_to(const Flow& flow, std::string_view bytes) {
+  if (bytes.starts_with(kControlPrefix)) return true;
+  auto ids = long_header_ids(bytes);
+  if (flow.routed_by_address) return !ids;
+  return ids && flow.client_source == ids->source &&
+         flow.handshake_state->initial_keys_id == ids->destination;
+}
+
+}  // namespace
+
 // The pending call that a returned datagram belongs to; null where none is certain.
 Flow* Front::flow_of_returned(Upstream& upstream, std::string_view bytes) {
-  if (upstream.dedicated_path) {
-    Flow* flow = upstream.dedicated_path->flow;
-    return flow && flow->attempt_pending ? flow : nullptr;
-  }
-  auto proxy = consume_proxy_header(bytes);
-  if (!proxy) return nullptr;
-  auto ids = long_header_ids(bytes);
-  for (Flow* flow : pending_attempts(upstream, proxy->source)) {
-    if (flow->routed_by_address && !ids) return flow;
-    if (!flow->routed_by_address && ids && flow->client_source == ids->source &&
-        flow->handshake_state->initial_keys_id == ids->destination)
-      return flow;
+  Endpoint client;
+  if (!upstream.dedicated_path) {
+    auto proxy = consume_proxy_header(bytes);
+    if (!proxy) return nullptr;
+    client = proxy->source;
   }
+  for (Flow* flow : pending_attempts(upstream, client))
+    if (belongs_to(*flow, bytes)) return flow;
   return nullptr;
 }
 
@@ -40,7 +48,7 @@
     if (datagram.error != ECONNREFUSED) return;
     port_closed = true;
     if (Flow* flow = flow_of_returned(upstream, datagram.bytes))
-      flow->handshake_state->delivery.returned += 1;
+      flow->handshake_state->delivery.count_returned();
   });
   return port_closed;
 }
--- a/src/quic/flow.cpp
+++ b/src/quic/flow.cpp
@@ -66,7 +66,7 @@
 bool Flow::timeout_blames_worker() const {
   if (validated || front.settings_.retry.mode == RetryMode::never) return true;
   if (!handshake_state) return true;
-  const auto& flight = handshake_state->flight;
+  const auto& flight = handshake_state->delivery.flight();
   return std::any_of(flight.begin(), flight.end(), [](const std::string& datagram) {
     for (std::string_view rest = datagram; !rest.empty();) {
       auto header = parse(rest);
@@ -102,7 +102,7 @@
   }
   Header header;
   header.version = version;
-  handshake_state->flight = {};
+  handshake_state->delivery.clear_flight();
   header.destination = handshake_state->initial_keys_id;
   header.source = client_source;
   std::string& close_packet = handshake_state->close_packet = connection_close_packet(header, error, reason);
@@ -130,7 +130,7 @@
 std::unique_ptr<core::Attempt> Flow::begin_attempt(core::Exchange& to, const std::string& worker,
                                                    const std::string&, Time) {
   auto attempt = std::make_unique<Attempt>(*this, to);
-  handshake_state->delivery = {};
+  handshake_state->delivery.begin_attempt();
   front.refresh_workers();
   WorkerTable::Worker* target = front.workers_.find_by_name(worker);
   if (!target || !target->address.is_specified()) {
@@ -146,7 +146,8 @@
   }
   front.attach(*this, *attempt_path);
   front.add_pending_attempt(*this);
-  for (const std::string& datagram : handshake_state->flight) front.send_handshake_datagram(*this, datagram);
+  for (const std::string& datagram : handshake_state->delivery.flight())
+    front.send_handshake_datagram(*this, datagram);
   return attempt;
 }
 
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -9,6 +9,7 @@
 
 #include "core/exchange.h"
 #include "quic/datagrams.h"
+#include "quic/delivery.h"
 #include "quic/packet.h"
 #include "quic/worker_table.h"
 
@@ -68,16 +69,6 @@
   Path *older = nullptr, *newer = nullptr;
 };
 
-/// The datagrams of one attempt, and how many of them certainly had no effect at the worker.
-struct Delivery {
-  std::size_t sent = 0;
-  std::size_t returned = 0;  // met a closed port, or were answered by a Retry
-
-  bool none_arrived() const { return returned >= sent; }
-  /// A worker's Retry proves that it has not processed the datagram that it answers, if that is certain.
-  void answered_by_retry() { returned += sent - returned == 1; }
-};
-
 /// A call from the client's first Initial, then the connection established from it. Shared with the core as
 /// both sides of its exchange.
 class Flow final : public core::ClientSide, public core::WorkerSide {
@@ -119,11 +110,10 @@
   ConnectionId first_destination, client_source;  // the ids in its Initials
   // State that is needed until the connection is established, or until its CONNECTION_CLOSE expires.
   struct HandshakeState {
-    std::vector<std::string> flight;  // the client's first datagrams, sent in each attempt
+    Delivery delivery;  // of the client's first datagrams, which each attempt sends
     // The id that its Initial keys are derived from; a worker's Retry changes it.
     ConnectionId initial_keys_id;
     std::string close_packet;  // sent to a client whose call has failed
-    Delivery delivery;         // of the pending attempt
   };
   std::unique_ptr<HandshakeState> handshake_state;
   // The destination id of the first Initial, where a Retry replaced it.
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-constexpr int kMaxBatches = 4;                    // received in one iteration of the event loop
-constexpr std::size_t kMaxFlightDatagrams = 8;    // buffered of a client's first flight, for further attempts
-constexpr std::size_t kMaxEarlyDataClients = 64;  // clients whose 0-RTT is buffered before their Initial
-constexpr std::size_t kMaxEarlyDatagrams = 4;     // of each such client
+constexpr int kMaxBatches = 4;                       // received in one iteration of the event loop
+constexpr std::size_t kMaxEarlyDataClients = 64;     // clients whose 0-RTT is buffered before their Initial
+constexpr std::size_t kMaxEarlyDatagrams = 4;        // of each such client
 constexpr std::size_t kMinAddressRoutedPacket = 43;  // shorter packets with an unroutable id begin no call
 
 }  // namespace
@@ -120,16 +119,11 @@
     Flow& flow = *known->second;
     flow.last_used = now_;
     if (!flow.validated) flow.bytes_received += datagram.bytes.size();
-    if (flow.refused()) {
-      const std::string& close_packet = flow.handshake_state->close_packet;
-      if (flow.allow_reply(close_packet.size())) send_to_client(from, close_packet);
-      return;
-    }
-    return flow.is_established ? forward(flow, bytes, datagram) : handle_pending(flow, datagram, bytes);
+    return handle_known(flow, datagram, bytes);
   }
   if (Flow* flow = find_linked(header->destination)) {  // an id issued by its worker
     flow->validated = true;                             // only a client that received a reply knows it
-    return flow->is_established ? forward(*flow, bytes, datagram) : handle_pending(*flow, datagram, bytes);
+    return handle_known(*flow, datagram, bytes);
   }
   // The policy selects the worker of a new call, whatever server id the client's first Initial encodes: that
   // worker may be draining. It still gets the Initials of handshakes that it holds.
@@ -143,6 +137,15 @@
   unknown_id_.add();
 }
 
+// A datagram of a call or connection in the table.
+void Front::handle_known(Flow& flow, const Datagram& datagram, std::string_view bytes) {
+  if (flow.is_established) return forward(flow, bytes, datagram);
+  if (!flow.refused()) return handle_pending(flow, datagram, bytes);
+  flow.last_used = now_;
+  const std::string& close_packet = flow.handshake_state->close_packet;
+  if (flow.allow_reply(close_packet.size())) send_to_client(datagram.from, close_packet);
+}
+
 // The id of an Initial that continues a handshake of a known worker, begun at another router or before a
 // restart. Only the first Initials of a connection open under keys that derive from their destination id.
 std::optional<IdCodec::Decoded> Front::id_of_held_handshake(const Header& header, std::string_view bytes) {
@@ -192,11 +195,10 @@
   }
   flow->handshake_state = std::make_unique<Flow::HandshakeState>();
   flow->handshake_state->initial_keys_id = flow->first_destination;
-  flow->handshake_state->flight.emplace_back(packets);
+  flow->handshake_state->delivery.add(packets);
   FlowKey key = flow_key(header.destination, header.source);
   if (auto early = early_data_.find(std::string(key.view())); early != early_data_.end()) {
-    for (std::string& datagram : early->second.datagrams)
-      flow->handshake_state->flight.push_back(std::move(datagram));
+    for (const std::string& datagram : early->second.datagrams) flow->handshake_state->delivery.add(datagram);
     early_data_.erase(early);
   }
   begin_call(flow, key, datagram.bytes);
@@ -231,8 +233,7 @@
     }
     if (was_pending) add_pending_attempt(flow);
   }
-  if (flow.handshake_state && flow.handshake_state->flight.size() < kMaxFlightDatagrams)
-    flow.handshake_state->flight.emplace_back(bytes);
+  if (flow.handshake_state) flow.handshake_state->delivery.add(bytes);
   if (flow.path) send_handshake_datagram(flow, bytes);
 }
 
@@ -255,7 +256,7 @@
     flow.last_used = now_;
     if (!flow.validated) flow.bytes_received += datagram.bytes.size();
     if (flow.finished) return;
-    return flow.is_established ? forward(flow, bytes, datagram) : handle_pending(flow, datagram, bytes);
+    return handle_known(flow, datagram, bytes);
   }
   // Such a packet cannot be validated, so while Retry is required none begins a call.
   if (bytes.size() < kMinAddressRoutedPacket || !(bytes[0] & 0x40) || closed_ ||
@@ -264,7 +265,7 @@
   auto flow = std::make_shared<Flow>(*this, Header(), datagram.from);
   flow->routed_by_address = true;
   flow->handshake_state = std::make_unique<Flow::HandshakeState>();
-  flow->handshake_state->flight.emplace_back(bytes);
+  flow->handshake_state->delivery.add(bytes);
   begin_call(flow, key, bytes);
 }
 
@@ -273,7 +274,7 @@
   if (!worker) return unknown_id_.add();
   if (Flow* flow = find_linked(id.id); flow && flow->path) {
     flow->validated = true;
-    return flow->is_established ? forward(*flow, bytes, datagram) : handle_pending(*flow, datagram, bytes);
+    return handle_known(*flow, datagram, bytes);
   }
   if (workers_.is_unreachable(*worker)) {
     send_stateless_reset(id.id, bytes, datagram.from);
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -28,6 +28,10 @@
 
 namespace marblehub::quic {
 
+/// The prefix of control messages, which share the workers' sockets with QUIC packets. No protocol that RFC
+/// 9443 distinguishes by its first byte begins with it.
+constexpr std::string_view kControlPrefix = "\x04MARBLE1 ";
+
 using core::Time;
 
 /// The QUIC front. It owns its sockets, its tables and all flows; the references given to the constructor
@@ -61,6 +65,7 @@
   // ---- front.cpp
   void receive_from_clients();
   void handle_client_datagram(const Datagram& datagram);
+  void handle_known(Flow& flow, const Datagram& datagram, std::string_view bytes);
   std::optional<IdCodec::Decoded> id_of_held_handshake(const Header& header, std::string_view bytes);
   void send_version_negotiation(const Header& header, std::string_view bytes, const Endpoint& from);
   // `packets`: the leading packets of the datagram that share its first destination id; only these may be
@@ -97,6 +102,7 @@
   void establish(Flow& flow, std::string_view bytes);
   Flow* find_flow(Upstream& upstream, const Endpoint& client, std::string_view id);
   void forward_to_client(const Endpoint& client, Path* path, std::string_view bytes, unsigned char ecn);
+  static void turned_away(Flow& flow);
   void handle_control(Upstream& upstream, const Endpoint& client, std::string_view message);
   Upstream* get_upstream(Path& path);
   void send_to_worker(Path& path, std::string_view bytes, unsigned char ecn);
--- a/src/quic/initial.cpp
+++ b/src/quic/initial.cpp
@@ -1,5 +1,7 @@
 #include "quic/initial.h"
 
+#include <algorithm>
+
 #include "quic/connection_id.h"
 #include "quic/crypto.h"
 
@@ -23,6 +25,20 @@
   return nonce;
 }
 
+constexpr char kPadding = 0x00, kPing = 0x01, kAck = 0x02, kAckEcn = 0x03, kCrypto = 0x06;  // RFC 9000, 19
+
+// Removes an ACK frame behind its type; false where it is incomplete.
+bool skip_ack(std::string_view& frames, bool has_ecn_counts) {
+  consume_varint(frames);  // largest acknowledged
+  consume_varint(frames);  // delay
+  auto ranges = consume_varint(frames);
+  if (!ranges || *ranges > frames.size()) return false;
+  std::uint64_t fields = 1 + 2 * *ranges + (has_ecn_counts ? 3 : 0);
+  for (std::uint64_t i = 0; i < fields; ++i)
+    if (!consume_varint(frames)) return false;
+  return true;
+}
+
 void apply_mask(char& byte, unsigned char mask) { byte = static_cast<char>(byte ^ mask); }
 
 }  // namespace
@@ -83,6 +99,26 @@
                   unprotected.substr(0, payload_offset));
 }
 
+std::uint64_t crypto_data_end(std::string_view frames) {
+  std::uint64_t data_end = 0;
+  while (!frames.empty()) {
+    const char type = frames[0];
+    frames.remove_prefix(1);
+    if (type == kPadding || type == kPing) continue;
+    if (type == kAck || type == kAckEcn) {
+      if (!skip_ack(frames, type == kAckEcn)) break;
+      continue;
+    }
+    if (type != kCrypto) break;
+    auto offset = consume_varint(frames);
+    auto length = offset ? consume_varint(frames) : std::nullopt;
+    if (!length || *length > frames.size()) break;
+    frames.remove_prefix(static_cast<std::size_t>(*length));
+    data_end = std::max(data_end, *offset + *length);
+  }
+  return data_end;
+}
+
 std::string connection_close_packet(const Header& client, std::uint64_t error, std::string_view reason) {
   std::string frames(1, '\x1c');
   put_varint(frames, error);
--- a/src/quic/initial.h
+++ b/src/quic/initial.h
@@ -28,6 +28,10 @@
 /// The frames of the Initial packet at the start of a datagram; none where it is no Initial or not authentic.
 std::optional<std::string> open_initial(const InitialKeys& keys, std::string_view datagram);
 
+/// The end of the handshake data that the CRYPTO frames among these frames carry, as an offset in the stream
+/// of this data; 0 if they carry none. Frames behind one that no Initial may hold are not read.
+std::uint64_t crypto_data_end(std::string_view frames);
+
 /// An Initial packet of a server with a CONNECTION_CLOSE frame, in reply to the client's packet `client`, of
 /// which version and connection ids are read. Its source connection id is random and unroutable.
 std::string connection_close_packet(const Header& client, std::uint64_t error, std::string_view reason);
--- a/src/quic/worker_side.cpp
+++ b/src/quic/worker_side.cpp
@@ -14,10 +14,6 @@
 
 constexpr int kMaxBatches = 4;  // received from a worker in one iteration of the event loop
 
-// The prefix of control messages, which share the workers' sockets with QUIC packets. No protocol that RFC
-// 9443 distinguishes by its first byte begins with it.
-constexpr std::string_view kControlPrefix = "\x04MARBLE1 ";
-
 // Whether the frames of a worker's Initial refuse the connection: a CONNECTION_CLOSE of type 0x1c with
 // CONNECTION_REFUSED (RFC 9000, 20.1), preceded only by PADDING and an ACK frame of one range.
 bool is_refusal(std::string_view frames) {
@@ -87,6 +83,7 @@
   if (!upstream) return table_full_.add();
   // Whether the router has sent a Retry; a Retry of the worker leaves the ids equal.
   bool after_retry = flow.original_destination && !(*flow.original_destination == flow.first_destination);
+  Delivery& delivery = flow.handshake_state->delivery;
   std::array<char, kMaxProxyHeaderSize> header;
   std::size_t size = 0;
   if (!upstream->dedicated_path) {
@@ -97,12 +94,10 @@
     }
     size = write_proxy_header(header, fields);
   } else if (after_retry) {
-    flow.handshake_state->delivery.sent += send_control(
-        *flow.path,
-        fmt::format("RETRIED {} {}", hex(flow.first_destination), hex(*flow.original_destination)));
+    delivery.count_sent(send_control(*flow.path, fmt::format("RETRIED {} {}", hex(flow.first_destination),
+                                                             hex(*flow.original_destination))));
   }
-  flow.handshake_state->delivery.sent +=
-      send_now(upstream->fd(), std::string_view(header.data(), size), bytes);
+  delivery.count_sent(send_now(upstream->fd(), std::string_view(header.data(), size), bytes));
 }
 
 bool Front::send_control(Path& path, const std::string& message) {
@@ -237,7 +232,7 @@
   Reply reply = match_reply(upstream, *header, bytes, client);
   if (Flow* flow = reply.flow) {
     if (header->type == PacketType::initial && is_refusal(reply.frames) && flow->exchange)
-      return flow->exchange->worker_ended(Outcome::full, CloseKind::orderly);
+      return turned_away(*flow);
     if (header->type == PacketType::initial) {
       if (ids_.codec().decode(header->source, true)) link_id(*flow, header->source);
       return establish(*flow, bytes);
@@ -249,7 +244,7 @@
         flow->original_destination = std::make_unique<ConnectionId>(flow->first_destination);
       flow->handshake_state->initial_keys_id = header->source;
       flow->bound_by_retry = true;
-      flow->handshake_state->delivery.answered_by_retry();
+      flow->handshake_state->delivery.retry_received();
       link_id(*flow, header->source);
     }
     if (!flow->allow_reply(bytes.size())) return amplification_stops_.add();
@@ -264,6 +259,13 @@
   forward_to_client(client, path, bytes, ecn);
 }
 
+// A worker turns away what it does not know, which proves that the call has not run; but not if the client
+// has repeated its datagrams, which may have reached an earlier process of the worker.
+void Front::turned_away(Flow& flow) {
+  Outcome outcome = flow.handshake_state->delivery.client_has_repeated() ? Outcome::error : Outcome::full;
+  flow.exchange->worker_ended(outcome, CloseKind::orderly);
+}
+
 void Front::establish(Flow& flow, std::string_view bytes) {
   if (!flow.exchange) return late_replies_.add();
   remove_pending_attempt(flow);
@@ -297,7 +299,7 @@
       id && !id->empty() && id->size() <= kMaxConnectionIdLength ? find_flow(upstream, client, *id) : nullptr;
   if (!flow) return malformed_.add();
   if (verb == "BUSY" && !flow->is_established && flow->exchange) {
-    flow->exchange->worker_ended(Outcome::full, CloseKind::orderly);
+    turned_away(*flow);
   } else if (verb == "LINK" && flow->is_established) {
     auto other = unhex(argument);
     if (!other || other->size() > kMaxConnectionIdLength || !ids_.codec().decode(*other, true))
--- a/tests/quic/closed_port_test.cpp
+++ b/tests/quic/closed_port_test.cpp
@@ -1,5 +1,6 @@
 // What proves over QUIC that a worker has not processed a call: the port was closed for every datagram of the
-// attempt, or a Retry was the answer. A port that is found closed later proves nothing.
+// attempt, or the worker answered with a Retry or a refusal before the client repeated its datagram. A port
+// that is found closed later proves nothing, nor does the answer of another process of the worker.
 #include "quic/testbed.h"
 
 namespace marblehub::test {
@@ -106,4 +107,75 @@
   }
 }
 
+// How a worker turns a call away.
+enum class Refusal { message, connection_close };
+
+void refuse(StubWorker& worker, Refusal refusal) {
+  worker.busy = refusal == Refusal::message;
+  worker.refuses = refusal == Refusal::connection_close;
+}
+
+// Guards against the refusal by a worker's new process being taken for a proof that the old one did not run
+// the call.
+TEST_CASE("an unsafe QUIC call is not sent on after its worker refused the repeat of its datagram") {
+  for (Refusal refusal : {Refusal::message, Refusal::connection_close}) {
+    for (const char* forwarding : {"socket", "proxy-v2"}) {
+      INFO(forwarding << (refusal == Refusal::message ? ", BUSY" : ", CONNECTION_REFUSED"));
+      QuicTestbed testbed = testbed_of(forwarding, kUnsafe);
+      for (auto& worker : testbed.workers) worker->silent = true;
+      StubClient& client = testbed.client();
+      client.open();
+      StubWorker& first = first_worker(testbed);
+      for (auto& worker : testbed.workers) worker->silent = false;
+      refuse(first, refusal);
+      client.open();
+      testbed.run(2500, [&] { return client.close_count + client.established_count > 0; });
+      for (auto& worker : testbed.workers) CHECK((worker.get() == &first || worker->initial_count == 0));
+      REQUIRE(client.close_count == 1);
+      CHECK(client.close_frames[1] == kInternalError);
+    }
+  }
+}
+
+// Guards the proof that remains: a refusal of the first flight, of whatever length, goes elsewhere.
+TEST_CASE("an unsafe QUIC call whose first flight is refused goes elsewhere") {
+  for (Refusal refusal : {Refusal::message, Refusal::connection_close}) {
+    for (const char* forwarding : {"socket", "proxy-v2"}) {
+      INFO(forwarding << (refusal == Refusal::message ? ", BUSY" : ", CONNECTION_REFUSED"));
+      QuicTestbed testbed = testbed_of(forwarding, kUnsafe);
+      for (std::size_t i = 0; i < 3; ++i) refuse(*testbed.workers[i], refusal);
+      for (int i = 0; i < 8; ++i) {
+        StubClient& client = testbed.client();
+        client.udp->send(zero_rtt_packet(client), client.balancer);
+        client.open();
+        testbed.run(1500, [&] { return client.close_count + client.established_count > 0; });
+        CHECK(client.established_count == 1);
+      }
+      CHECK(testbed.counter("marblehub_attempt_results_total{outcome=\"full\"}") > 0);
+    }
+  }
+}
+
+// Guards the answer after a Retry: of a flight of two datagrams nothing has run, of a repeated one it may
+// have.
+TEST_CASE("a Retry proves that a flight has not run unless the client has repeated it") {
+  for (bool repeated : {false, true}) {
+    INFO((repeated ? "repeated" : "two datagrams"));
+    QuicTestbed testbed({"g-1"}, 700, 1024, json::object(), kUnsafe);
+    StubWorker& worker = *testbed.workers[0];
+    worker.silent = repeated;
+    worker.sends_retry = true;
+    StubClient& client = testbed.client();
+    client.udp->send(zero_rtt_packet(client), client.balancer);
+    client.open();
+    testbed.run(100);
+    worker.silent = false;
+    if (repeated) client.open();
+    testbed.run(900);
+    CHECK(worker.retry_id.empty() == false);
+    CHECK(testbed.counter("marblehub_answers_total{answer=\"overload\"}") == !repeated);
+    CHECK(testbed.counter("marblehub_answers_total{answer=\"failed\"}") == repeated);
+  }
+}
+
 }  // namespace marblehub::test
--- a/tests/quic/testbed.h
+++ b/tests/quic/testbed.h
@@ -99,6 +99,7 @@
     if (silent) return;
     std::string first(header.destination);
     if (busy) return send("\x04MARBLE1 BUSY " + hex(first), from);
+    if (refuses) return send(connection_close_packet(header, kConnectionRefused, "busy"), from);
     if (sends_retry) {
       retry_id = make_id();
       return send(retry_packet(kVersion1, header.source, retry_id, "token", first), from);
@@ -151,7 +152,8 @@
   std::string name, server_id;
   int group = 0;  // the deduplication group
   int port = 0;   // of a worker that has crashed
-  bool silent = false, busy = false, has_id_config = true, sends_retry = false, behind_proxy = false;
+  bool silent = false, busy = false, refuses = false, sends_retry = false;
+  bool has_id_config = true, behind_proxy = false;
   std::string retry_id;  // the source id of the latest Retry
   int initial_count = 0, answers = 0, issued_ids = 0;
   std::map<std::string, std::pair<std::string, Peer>> clients;  // by connection id, with the client's own id
