End QUIC attempts at a worker whose address changes, instead of following it

A lock command of an unsafe class whose worker was listed at another address before it had answered reached the process there by the client's next repeat, and could run twice.

Cause: Front::refresh_workers closed the sockets to the old address, and the next datagram of the attempt opened one to the new address. On TCP an attempt is bound to its connection.

Ruled out: established connections, which another process does not know and answers with a reset.

Change: pending attempts at such a worker end, as not sent if all their datagrams came back, else as reset; the policy decides. All sockets are closed before the first attempt ends, so that none goes to an old address.

The client may get its CONNECTION_CLOSE twice.

--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -85,6 +85,8 @@
 
   // ---- maintenance.cpp
   void refresh_workers();
+  void close_sockets_of(WorkerTable::Worker& worker);
+  void end_attempts_at(const WorkerTable::Worker& worker);
   void sweep();
 
   // ---- worker_side.cpp
--- a/src/quic/maintenance.cpp
+++ b/src/quic/maintenance.cpp
@@ -44,26 +44,37 @@
   if (!workers_stale_ && workers_version_ == dispatcher_.list_version()) return;
   workers_stale_ = false;
   workers_version_ = dispatcher_.list_version();
-  // Sockets to a worker whose address has changed are closed.
-  for (WorkerTable::Worker* worker :
-       workers_.refresh(dispatcher_.workers(), settings_, ids_.codec().configs())) {
-    if (auto shared = shared_upstreams_.find(worker); shared != shared_upstreams_.end()) {
-      std::erase(unflushed_, shared->second.get());
-      shared->second->close();
-      // Deferred, since a callback of this socket may be on the stack.
-      loop_.defer_release(std::shared_ptr<Upstream>(std::move(shared->second)));
-      shared_upstreams_.erase(shared);
-    }
-    std::vector<Path*> affected;
-    for (auto& [raw, path] : all_paths_)
-      if (&path->worker == worker && path->dedicated_upstream) affected.push_back(raw);
-    for (Path* path : affected) {
-      std::erase(unflushed_, path->dedicated_upstream.get());
-      path->dedicated_upstream->close();  // reopened for the next datagram
-    }
+  std::vector<WorkerTable::Worker*> moved =
+      workers_.refresh(dispatcher_.workers(), settings_, ids_.codec().configs());
+  for (WorkerTable::Worker* worker : moved) close_sockets_of(*worker);
+  for (WorkerTable::Worker* worker : moved) end_attempts_at(*worker);
+}
+
+// Closes the sockets to a worker whose address has changed; the next datagram opens new ones.
+void Front::close_sockets_of(WorkerTable::Worker& worker) {
+  if (auto shared = shared_upstreams_.find(&worker); shared != shared_upstreams_.end()) {
+    std::erase(unflushed_, shared->second.get());
+    shared->second->close();
+    // Deferred, since a callback of this socket may be on the stack.
+    loop_.defer_release(std::shared_ptr<Upstream>(std::move(shared->second)));
+    shared_upstreams_.erase(shared);
+  }
+  for (auto& [raw, path] : all_paths_) {
+    if (&path->worker != &worker || !path->dedicated_upstream) continue;
+    std::erase(unflushed_, path->dedicated_upstream.get());
+    path->dedicated_upstream->close();
   }
 }
 
+// Another process may listen at a worker's new address, and must not get what the old one may have executed.
+void Front::end_attempts_at(const WorkerTable::Worker& worker) {
+  std::vector<Flow*> affected;  // only the sweep frees flows
+  for (auto& [key, flow] : pending_attempts_)
+    if (&flow->path->worker == &worker) affected.push_back(flow);
+  for (Flow* flow : affected)
+    fail_call(*flow, flow->reached_no_worker() ? core::Outcome::not_sent : core::Outcome::reset);
+}
+
 void Front::sweep() {
   Time now = loop_.now();
   if (ids_.expire(now)) workers_stale_ = true;
--- a/tests/quic/closed_port_test.cpp
+++ b/tests/quic/closed_port_test.cpp
@@ -178,4 +178,30 @@
   }
 }
 
+// Guards against a repeated datagram that reaches another process after the worker's address has changed.
+TEST_CASE("an unsafe QUIC call does not follow its worker to another address") {
+  for (const char* forwarding : {"socket", "proxy-v2"}) {
+    INFO(forwarding);
+    QuicTestbed testbed({"g-1"}, 2500, 1024, {{"forwarding", forwarding}}, kUnsafe);
+    StubWorker& old_process = *testbed.workers[0];
+    testbed.run(4200);  // the first registry call is sent within 4 s
+    old_process.silent = true;
+    StubClient& client = testbed.client();
+    client.open();
+    testbed.run(100);
+    REQUIRE(old_process.initial_count == 1);
+    testbed.workers.push_back(std::make_unique<StubWorker>("g-1"));
+    StubWorker& new_process = *testbed.workers.back();
+    new_process.behind_proxy = old_process.behind_proxy;
+    testbed.registry_update.push_back(QuicTestbed::entry(new_process, "ready"));
+    testbed.run(300);
+    client.open();
+    testbed.run(500);
+    CHECK(new_process.initial_count == 0);
+    CHECK(client.established_count == 0);
+    REQUIRE(client.close_count > 0);  // the end of the attempt, and the answer to the repeat
+    CHECK(client.close_frames[1] == kInternalError);
+  }
+}
+
 }  // namespace marblehub::test
