Answer a failed QUIC call again for as long as its client repeats its Initial

An unsafe call that had failed, since it may have run, was begun anew at another worker if its client repeated its Initial over 3 s after the CONNECTION_CLOSE and had not got that.

Clients wait longer between repeats than that after the third.

Evidence: the new test in tests/quic/closed_port_test.cpp fails on: the repeat after 4 s reaches a worker.

Ruled out: keeping rejected calls longer; coming again does no harm there, and an outage would fill the table.

Result: the test passes.

--- a/src/quic/flow.cpp
+++ b/src/quic/flow.cpp
@@ -91,7 +91,10 @@
 }
 
 // Not CONNECTION_REFUSED, which would tell the client that no worker has processed the call.
-void Flow::failed(std::string_view) { close_call(kInternalError, "failed"); }
+void Flow::failed(std::string_view) {
+  if (handshake_state) handshake_state->may_have_run = true;
+  close_call(kInternalError, "failed");
+}
 
 void Flow::close_call(std::uint64_t error, std::string_view reason) {
   exchange = nullptr;
--- a/src/quic/flow.h
+++ b/src/quic/flow.h
@@ -113,7 +113,8 @@
     Delivery delivery;  // of the client's first datagrams, which each attempt sends
     // The id that its Initial keys are derived from; a worker's Retry changes it.
     ConnectionId initial_keys_id;
-    std::string close_packet;  // sent to a client whose call has failed
+    std::string close_packet;   // sent to a client whose call has failed
+    bool may_have_run = false;  // so the call has not been rejected, but has failed
   };
   std::unique_ptr<HandshakeState> handshake_state;
   // The destination id of the first Initial, where a Retry replaced it.
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -87,6 +87,7 @@
   void refresh_workers();
   void close_sockets_of(WorkerTable::Worker& worker);
   void end_attempts_at(const WorkerTable::Worker& worker);
+  Time close_packet_lifetime(const Flow& flow) const;
   void sweep();
 
   // ---- worker_side.cpp
--- a/src/quic/maintenance.cpp
+++ b/src/quic/maintenance.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr Time kEarlyDataLifetime = 500'000;
-constexpr Time kClosePacketLifetime = 3'000'000;  // repeated Initials get the same CONNECTION_CLOSE so long
+// How long a client that repeats its Initial gets the same CONNECTION_CLOSE. After that it begins a new call.
+constexpr Time kRejectionLifetime = 3'000'000;
 
 }  // namespace
 
@@ -75,13 +76,20 @@
     fail_call(*flow, flow->reached_no_worker() ? core::Outcome::not_sent : core::Outcome::reset);
 }
 
+// A client whose call may have run has not got the CONNECTION_CLOSE if it repeats its Initial. It may do so
+// until it gives up its handshake, and must not begin a new call.
+Time Front::close_packet_lifetime(const Flow& flow) const {
+  if (!flow.handshake_state->may_have_run) return kRejectionLifetime;
+  return std::max(kRejectionLifetime, settings_.idle_timeout);
+}
+
 void Front::sweep() {
   Time now = loop_.now();
   if (ids_.expire(now)) workers_stale_ = true;
   std::vector<std::shared_ptr<Flow>> removed;
   for (auto& [key, flow] : flows_) {
     if (flow->move_requests_left > 0) flow->request_move();
-    bool answered = flow->refused() && now - flow->last_used > kClosePacketLifetime;
+    bool answered = flow->refused() && now - flow->last_used > close_packet_lifetime(*flow);
     bool idle = flow->is_established && now - flow->last_used > settings_.idle_timeout;
     if (answered || idle || flow->finished) removed.push_back(flow);
   }
--- a/tests/quic/closed_port_test.cpp
+++ b/tests/quic/closed_port_test.cpp
@@ -204,4 +204,19 @@
   }
 }
 
+// Guards against a repeated datagram that begins the call anew, long after the call has failed.
+TEST_CASE("an unsafe QUIC call that may have run stays failed while its client repeats its datagram") {
+  QuicTestbed testbed({"g-1", "g-2"}, 500, 1024, json::object(), kUnsafe);
+  for (auto& worker : testbed.workers) worker->silent = true;
+  StubClient& client = testbed.client();
+  client.open();
+  testbed.run(1000, [&] { return client.close_count > 0; });
+  REQUIRE(client.close_frames[1] == kInternalError);
+  testbed.run(4000);  // the next repeat of a client whose answers are lost
+  client.open();
+  testbed.run(300);
+  CHECK(testbed.workers[0]->initial_count + testbed.workers[1]->initial_count == 1);
+  CHECK(client.close_count == 2);
+}
+
 }  // namespace marblehub::test
