Do not send a keyed call again once its window has passed while it connected

Cause: RetryRules::repeatable looks at the window when an attempt is decided on. Until the connection is up a balancer may be held up (0.15 s), and a connection may come up late.

Ruled out: a margin in the window.

Change: Submit tells the end of the window (send_by), and the exchange looks at it when the connection is up, last before the write; the QUIC front also for a client's later datagrams. tests/effects_test.cpp holds it under random events.

--- a/include/marblehub/policy.h
+++ b/include/marblehub/policy.h
@@ -214,11 +214,13 @@
 
 // ---- Actions
 
-/// Start an attempt at the backend and abort it at the deadline.
+/// Start an attempt at the backend and abort it at the deadline. With `send_by`, the request must not be sent
+/// after that time: backends may have forgotten the earlier attempt that they deduplicate it against.
 struct Submit {
   std::uint64_t id = 0;
   std::string backend;
   Time deadline = 0;
+  std::optional<Time> send_by = {};
 };
 /// Why a request is rejected: the fleet is at capacity, no attempt could be made before the deadline, or the
 /// attempts failed.
--- a/src/core/dispatcher_policy.cpp
+++ b/src/core/dispatcher_policy.cpp
@@ -106,6 +106,7 @@
 void Dispatcher::execute(const Submit& action) {
   Exchange* exchange = find_waiting(action.id);
   if (!exchange || exchange->attempt_) return;
+  exchange->send_by_ = action.send_by;
   begin_attempt(*exchange, action.backend, std::max<Time>(kMillisecond, action.deadline - now()));
 }
 
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -43,7 +43,9 @@
   if (attempt_) attempt_->hold(on);
 }
 
-bool Exchange::may_begin() const { return dispatcher_.may_begin(*this); }
+bool Exchange::may_begin() const { return dispatcher_.may_begin(*this) && within_repeat_window(); }
+
+bool Exchange::within_repeat_window() const { return !send_by_ || dispatcher_.now() <= *send_by_; }
 
 void Exchange::worker_established(std::string_view receipt) {
   if (state_ != State::waiting || !client_) return;
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -69,6 +70,9 @@
   bool client_waiting() const { return client_ && client_->is_connected(); }
   /// Whether the call may still be sent to the worker of its attempt.
   bool may_begin() const;
+  /// Whether workers would still discard the call if an earlier attempt has been executed; true where none
+  /// may have been.
+  bool within_repeat_window() const;
   /// The worker accepted the call; `receipt` is its answer, forwarded to the client.
   void worker_established(std::string_view receipt);
   /// Forwards bytes to the client, then carries out a pending move if they end at a message boundary. Without
@@ -111,6 +115,7 @@
   std::shared_ptr<const std::set<std::string>> allowed_workers_;  // null: all workers
   std::string worker_, address_;                                  // of the latest attempt
   Time attempt_started_at_ = 0, deadline_;
+  std::optional<Time> send_by_;                   // of the latest attempt; none: no limit
   bool move_pending_ = false;                     // until the stream is at a message boundary
   bool worker_at_boundary_ = true;                // no message of the worker is incomplete
   MoveReason move_reason_ = MoveReason::restart;  // valid if move_pending_
--- a/src/net/worker_side.cpp
+++ b/src/net/worker_side.cpp
@@ -38,15 +38,16 @@
     connect_timer_.stop();
     if (!exchange_) return;
     if (!exchange_->client_waiting()) return;  // the client's end is read in this iteration and ends the call
-    // The worker is not to blame if the attempt does not begin.
-    bool in_time = side_.loop_.now() < wait_until_;
-    if (!in_time || !exchange_->may_begin()) return end_attempt(Outcome::not_sent, CloseKind::aborted);
+    const Time remaining = wait_until_ - side_.loop_.now();
     // The request carries the time left for this attempt, not the client's original wait.
-    Time remaining_ms = std::max<Time>(1, (wait_until_ - side_.loop_.now()) / 1000);
+    const Time remaining_ms = std::max<Time>(1, remaining / 1000);
     std::string line = with_field(exchange_->call().front_data, "d", std::to_string(remaining_ms)) + "\r\n";
-    side_.bytes_out_.add(static_cast<double>(line.size()));
+    // Checked last before the write, as the process may be held up at any time. The worker is not to blame if
+    // the attempt does not begin.
+    if (remaining <= 0 || !exchange_->may_begin()) return end_attempt(Outcome::not_sent, CloseKind::aborted);
     request_written_ = true;
     stream_->write(line);
+    side_.bytes_out_.add(static_cast<double>(line.size()));
   }
 
   void received(std::string_view bytes) override {
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -192,9 +192,10 @@
   request.attempts += 1;
   request.backend = index;
   request.sent_at = deps_.context.now;
+  const std::optional<Time> send_by = deps_.rules.send_by(request);
   request.history.begin(attempt_at(index));
   request.tried.push_back(index);
-  deps_.context.emit(Submit{id, deps_.backends[index].address, deps_.context.now + timeout});
+  deps_.context.emit(Submit{id, deps_.backends[index].address, deps_.context.now + timeout, send_by});
 }
 
 // ---- Answers
--- a/src/policy/requests/retry_rules.cpp
+++ b/src/policy/requests/retry_rules.cpp
@@ -4,9 +4,13 @@
 
 bool RetryRules::repeatable(const Request& request) const {
   if (repeats_unrestricted(request)) return true;
+  return class_of(request).repeat == Repeat::keyed && context_.now <= *send_by(request);
+}
+
+std::optional<Time> RetryRules::send_by(const Request& request) const {
   const RequestClass& request_class = class_of(request);
-  return request_class.repeat == Repeat::keyed &&
-         context_.now <= request.history.first_possible_run()->sent_at + request_class.dedup_window_us;
+  if (repeats_unrestricted(request) || request_class.repeat != Repeat::keyed) return std::nullopt;
+  return request.history.first_possible_run()->sent_at + request_class.dedup_window_us;
 }
 
 bool RetryRules::allowed(const Backend& backend, const Request& request) const {
--- a/src/policy/requests/retry_rules.h
+++ b/src/policy/requests/retry_rules.h
@@ -2,6 +2,8 @@
 /// do.
 #pragma once
 
+#include <optional>
+
 #include "policy/context.h"
 #include "policy/state/backend_table.h"
 #include "policy/state/request.h"
@@ -22,6 +24,10 @@
   /// answered.
   bool repeatable(const Request& request) const;
 
+  /// Until when the request may be sent, so that backends still discard it if it has been executed; none
+  /// where that does not matter.
+  std::optional<Time> send_by(const Request& request) const;
+
   /// Whether the remaining time is at most the connect timeout and two sweeps.
   bool near_deadline(const Request& request) const {
     return request.deadline - context_.now <= context_.settings.connect_timeout_us + 2 * kSweepInterval;
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -234,7 +234,8 @@
     if (was_pending) add_pending_attempt(flow);
   }
   if (flow.handshake_state) flow.handshake_state->delivery.add(bytes);
-  if (flow.path) send_handshake_datagram(flow, bytes);
+  const bool in_time = !flow.exchange || flow.exchange->within_repeat_window();
+  if (flow.path && in_time) send_handshake_datagram(flow, bytes);
 }
 
 // Buffers 0-RTT that arrives before its Initial (RFC 9000, 5.2.2).
--- a/tests/effects_test.cpp
+++ b/tests/effects_test.cpp
@@ -14,6 +14,7 @@
 
 constexpr Time kMillisecond = 1000;
 constexpr Time kAnswerSlack = 60 * kMillisecond;  // after a deadline; a step takes up to 40 ms
+constexpr Time kWindow = 400 * kMillisecond;      // in which workers discard repeats of a keyed call
 constexpr std::size_t kWorkers = 8, kMaxCalls = 30;
 
 std::string worker_name(std::size_t i) { return "w" + std::to_string(i); }
@@ -32,6 +33,7 @@
 struct SeenAttempt {
   std::size_t worker = 0;
   Group group;
+  Time begun_at = 0;
   bool delivered = false, turned_away = false, over = false;
   bool may_have_run() const { return delivered && !turned_away; }
 };
@@ -82,7 +84,7 @@
     startup.settings.classes.clear();
     for (Repeat repeat : {Repeat::safe, Repeat::unsafe, Repeat::keyed})
       for (DedupScope scope : {DedupScope::all, DedupScope::zone, DedupScope::cell})
-        startup.settings.classes.push_back({"c", 300'000, 150'000, repeat, scope, 400'000, true});
+        startup.settings.classes.push_back({"c", 300'000, 150'000, repeat, scope, kWindow, true});
     startup.seed = seed;
     for (std::size_t i = 0; i < kWorkers; ++i) groups.push_back(first_group_of(i));
     startup.known = list(true);
@@ -146,7 +148,7 @@
     if (caller.attempts.empty() || caller.attempts.back().over) return;
     SeenAttempt& attempt = caller.attempts.back();
     if (is_established(caller)) return end(caller, Outcome::served);
-    if (!attempt.delivered && random.one_in(2)) return void(attempt.delivered = true);
+    if (!attempt.delivered && random.one_in(2)) return connected(caller);
     if (!attempt.delivered)
       return end(caller, random.one_in(2) ? Outcome::connect_failed : Outcome::not_sent);
     switch (random.below(5)) {
@@ -163,6 +165,14 @@
         return;  // nothing comes, until a time-out
     }
   }
+  // The connection to the worker is up, and the call is sent unless it must not be any more.
+  void connected(Caller& caller) {
+    if (!caller.exchange->may_begin()) return end(caller, Outcome::not_sent);
+    for (const SeenAttempt& first : caller.attempts)
+      if (first.may_have_run() && caller.effect.repeat == Repeat::keyed)
+        CHECK(at <= first.begun_at + kWindow);
+    caller.attempts.back().delivered = true;
+  }
   static bool is_established(const Caller& caller) {
     return caller.answers > 0 && !caller.attempts.empty() && !caller.attempts.back().over;
   }
@@ -200,7 +210,7 @@
         CHECK((first.worker == next || groups[next].cell >= 0));
       }
     }
-    caller.attempts.push_back({next, groups[next]});
+    caller.attempts.push_back({next, groups[next], at});
     attempts += 1;
     repeats += caller.attempts.size() > 1;
     return std::make_unique<StubAttempt>(caller, !random.one_in(3));
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -147,6 +147,24 @@
   EXPECT_EQ(harness.rejections.size(), 1u) << "all backends deduplicate it, so the client may retry";
 }
 
+// Guards against a repeat that is decided on in time and sent too late: the attempt says when that is.
+TEST(Rules, ARepeatOfAKeyedRequestTellsTheEndOfItsDedupWindow) {
+  for (Repeat repeat : {Repeat::safe, Repeat::keyed}) {
+    Settings s = default_settings();
+    s.classes[0] = stream_class(repeat);
+    BalancerHarness harness(s);
+    harness.send_full_list(4);
+    const Time first_sent_at = harness.now;
+    std::uint64_t id = harness.request();
+    harness.now += 50 * kMs;
+    harness.result(id, Outcome::reset);
+    ASSERT_EQ(harness.submits.size(), 2u);
+    EXPECT_FALSE(harness.submits[0].send_by.has_value());
+    EXPECT_EQ(harness.submits[1].send_by.has_value(), repeat == Repeat::keyed);
+    if (repeat == Repeat::keyed) EXPECT_EQ(harness.submits[1].send_by, first_sent_at + 1 * kSec);
+  }
+}
+
 TEST(Rules, ADrainingOrDeletedBackendGetsNoNewRequests) {
   BalancerHarness harness(default_settings());
   harness.send_full_list(3);
