Answer all clients when a process ends itself because another one has its name

What callers saw: of two balancers of a fleet with one name the later one ends itself; its clients were cut off without MOVE, and calls that waited got no answer. Only with the fleet's parts on, which are off as shipped.

Cause: FleetService stops the event loop, and Program::run returned without Dispatcher::end_all, which a planned restart calls.

Evidence: tests/name_conflict_test.cpp on the code before: the waiting call of an unsafe class and the open connection both read the end of the stream.

Ruled out: the planned restart, after which nobody is left when the loop stops. The review's remark about the QUIC front's destructor (calls that it ends through parts already gone) falls away too, as no call stands by then.

Change: all calls are ended behind the loop, by the policy's answer.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -102,6 +102,7 @@
     if (rebalance_) plan_timer_.start(kPlanInterval);
     if (list_is_pushed()) registry_.watch_endpoints();
     loop_.run();
+    dispatcher_.end_all();  // nobody is left after a planned restart, but other ends come unannounced
     print_metrics();
   }
 
