Refuse a file at SIGHUP whose deadline is 0, or that lacks a deadline or limit that was there

Cause: longest_deadline_from took 0, and nothing asked whether a reloaded file still has its deadlines and limits. limits.sockets without a value is 1024.

Ruled out: a start without deadlines, which stays allowed: the platform counts them as 3 s then.

Change: a deadline that is given must be above 0, at a start too; config::check_reload wants limits.sockets and the deadline of each class at a reload where the file in force has them. A class may be dropped.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -151,15 +151,20 @@
   return list;
 }
 
+static std::string deadline_key(std::size_t request_class) {
+  return "request_classes." + std::to_string(request_class) + ".give_up_us";
+}
+
 // The longest give_up_us of all classes. Longer and missing values count as 3 s, as they do for the platform
 // that runs the program, which sends SIGKILL some time after this deadline.
 static marblehub::policy::Time longest_deadline_from(const Options& settings) {
   constexpr double max_us = 3e6;
   double longest = 0;
-  int classes = settings.number<int>("request_classes.count", 1);
-  for (int i = 0; i < classes; ++i) {
-    std::string key = "request_classes." + std::to_string(i) + ".give_up_us";
-    longest = std::max(longest, settings.number_or<double>(key, 0, max_us));
+  auto classes = settings.number<std::size_t>("request_classes.count", 1);
+  for (std::size_t i = 0; i < classes; ++i) {
+    const double deadline = settings.number_or<double>(deadline_key(i), 0, max_us);
+    if (!(deadline > 0)) settings.refuse(deadline_key(i), "a number above 0");
+    longest = std::max(longest, deadline);
   }
   return static_cast<marblehub::policy::Time>(std::min(longest, max_us));
 }
@@ -192,6 +197,15 @@
   return {startup_from(options), options.values()};
 }
 
+void check_reload(const Values& in_force, const LoadedStartup& reloaded, const std::string& path) {
+  auto require = [&](const std::string& key) {
+    if (in_force.count(key) && !reloaded.values.count(key)) throw DecodeError(path + ": ", key, "a value");
+  };
+  require("limits.sockets");
+  for (std::size_t i = 0; i < reloaded.startup.settings.classes.size(); ++i)
+    require("settings." + deadline_key(i));
+}
+
 std::vector<std::string> needs_restart(const Values& in_force, const Values& reloaded) {
   std::set<std::string> differing_keys;
   auto compare = [&](const Values& one, const Values& other) {
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -75,6 +75,10 @@
 /// Reads and decodes a starting file. Throws DecodeError with the file and the key.
 LoadedStartup load_startup(const std::string& path);
 
+/// Checks that a reloaded file is not cut short: it has those optional keys of the file in force without
+/// which other limits or deadlines would apply. Throws DecodeError with the path and the key.
+void check_reload(const Values& in_force, const LoadedStartup& reloaded, const std::string& path);
+
 /// The keys whose values differ from those in force and are applied only by a restart.
 std::vector<std::string> needs_restart(const Values& in_force, const Values& reloaded);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -222,6 +222,7 @@
   void reload() {
     try {
       config::LoadedStartup loaded = config::load_startup(path_);
+      config::check_reload(values_, loaded, path_);
       // Everything that may be rejected is checked before anything is applied.
       auto quic = quic_settings(loaded.startup);
       auto rebalance = rebalance_settings(loaded.startup);
