--- a/conformance/testbed.cpp
+++ b/conformance/testbed.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t kMaxWatchTime = 5'000'000;
+constexpr int kListenQueue = 512;  // many balancers may start together
 
 std::string temporary_path() {
   char path[] = "/tmp/marblehub-quic-XXXXXX";
@@ -23,12 +24,12 @@
 
 StubRegistry::StubRegistry()
     : fd_(test::bound_socket(SOCK_STREAM | SOCK_NONBLOCK)), port_(test::port_of(fd_)) {
-  ::listen(fd_, 16);
+  ::listen(fd_, kListenQueue);
 }
 
 StubRegistry::~StubRegistry() {
   for (Conn& conn : conns_) ::close(conn.fd);
-  ::close(fd_);
+  if (fd_ >= 0) ::close(fd_);
 }
 
 void StubRegistry::set(const std::string& name, const std::string& address, const std::string& status,
@@ -39,7 +40,28 @@
 }
 
 bool StubRegistry::has_watch() const {
-  return std::any_of(conns_.begin(), conns_.end(), [](const Conn& conn) { return conn.watch_since > 0; });
+  return std::any_of(conns_.begin(), conns_.end(),
+                     [](const Conn& conn) { return conn.called_at > 0 && conn.hold > 0; });
+}
+
+void StubRegistry::down() {
+  ::close(std::exchange(fd_, -1));
+  for (Conn& conn : conns_) {
+    linger hard{1, 0};
+    setsockopt(conn.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    ::close(conn.fd);
+  }
+  conns_.clear();
+}
+
+void StubRegistry::up() {
+  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int on = 1;
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = test::loopback(port_);
+  if (::bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
+    throw std::runtime_error("the registry's port is taken");
+  ::listen(fd_, kListenQueue);
 }
 
 json StubRegistry::list() const {
@@ -49,42 +71,64 @@
   return all;
 }
 
-void StubRegistry::answer(Conn& conn, bool full_list) {
+void StubRegistry::answer(Conn& conn) {
+  const bool full_list = conn.from < 0;
+  conn.called_at = 0;
+  if (fault_ == RegistryFault::refuses) {
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    ::send(conn.fd, refusal.data(), refusal.size(), MSG_NOSIGNAL);
+    return;
+  }
   json entries = full_list ? list() : json::array();
   if (!full_list)
     for (auto& [name, entry] : entries_)
       if (changed_[name] > conn.from) entries.push_back(entry);
   std::string body = json{{"index", index_}, {"snapshot", full_list}, {"endpoints", entries}}.dump();
   std::string text = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
-  ::send(conn.fd, text.data(), text.size(), MSG_NOSIGNAL);
-  conn.watch_since = 0;
+  const bool half = fault_ == RegistryFault::half_answers;
+  ::send(conn.fd, text.data(), half ? text.size() - body.size() / 2 : text.size(), MSG_NOSIGNAL);
+  if (half) close(conn);
 }
 
-void StubRegistry::step() {
+void StubRegistry::close(Conn& conn) { ::close(std::exchange(conn.fd, -1)); }
+
+void StubRegistry::accept_connections() {
+  if (fd_ < 0) return;
   for (int fd; (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
-    conns_.push_back({fd, "", 0, -1});
+    conns_.push_back({fd, "", 0, 0, -1});
+}
+
+void StubRegistry::read_call(Conn& conn) {
+  char buffer[4096];
+  ssize_t n = ::recv(conn.fd, buffer, sizeof buffer, 0);
+  if (n > 0) conn.in.append(buffer, static_cast<std::size_t>(n));
+  if (n == 0) return close(conn);
+  std::size_t end = conn.in.find("\r\n\r\n");
+  if (end == std::string::npos) return;
+  const std::string head = conn.in.substr(0, end);
+  conn.in.erase(0, end + 4);
+  const std::size_t from = head.find("from="), hold = head.find("hold_ms=");
+  conn.from = from == std::string::npos ? -1 : std::atoll(head.c_str() + from + 5);
+  conn.hold = from == std::string::npos ? 0
+              : hold == std::string::npos
+                  ? kMaxWatchTime
+                  : std::min<std::int64_t>(kMaxWatchTime, 1000 * std::atoll(head.c_str() + hold + 8));
+  conn.called_at = now_us();
+  call_times_.push_back(conn.called_at);
+}
+
+void StubRegistry::answer_if_due(Conn& conn) {
+  const std::int64_t waited = now_us() - conn.called_at;
+  if (fault_ == RegistryFault::silent || waited < answer_delay_) return;
+  const bool news = conn.from < index_ || fault_ == RegistryFault::refuses;
+  if (news || waited >= conn.hold) answer(conn);
+}
+
+void StubRegistry::step() {
+  accept_connections();
   for (Conn& conn : conns_) {
-    char buffer[4096];
-    ssize_t n = ::recv(conn.fd, buffer, sizeof buffer, 0);
-    if (n > 0) conn.in.append(buffer, static_cast<std::size_t>(n));
-    if (n == 0) {
-      ::close(std::exchange(conn.fd, -1));
-      continue;
-    }
-    std::size_t end = conn.in.find("\r\n\r\n");
-    if (end != std::string::npos) {
-      std::string head = conn.in.substr(0, end);
-      conn.in.erase(0, end + 4);
-      std::size_t from = head.find("from=");
-      if (from == std::string::npos) {
-        answer(conn, true);
-      } else {
-        conn.from = std::atoll(head.c_str() + from + 5);
-        conn.watch_since = now_us();
-      }
-    }
-    if (conn.watch_since > 0 && (conn.from < index_ || now_us() - conn.watch_since > kMaxWatchTime))
-      answer(conn, false);
+    read_call(conn);
+    if (conn.fd >= 0 && conn.called_at > 0) answer_if_due(conn);
   }
   std::erase_if(conns_, [](const Conn& conn) { return conn.fd < 0; });
 }
--- a/conformance/testbed.h
+++ b/conformance/testbed.h
@@ -15,16 +15,31 @@
 
 using nlohmann::json;
 
+/// How the registry answers its calls: correctly, with status 503, with half of the answer before it closes
+/// the connection, or not at all.
+enum class RegistryFault { none, refuses, half_answers, silent };
+
 /// A stub of the registry's HTTP interface. It answers a request for the full list at once, and a watch when
-/// there is a newer change or after a timeout.
+/// there is a newer change or at the end of its wait.
 class StubRegistry {
  public:
   StubRegistry();
   ~StubRegistry();
   int port() const { return port_; }
+  /// The version of the list.
+  std::int64_t index() const { return index_; }
   /// Adds or updates an endpoint. `since_ms` is the Unix time at which it started; 0: long ago.
   void set(const std::string& name, const std::string& address, const std::string& status,
            std::int64_t since_ms = 0);
+  /// Applies to calls that are not answered yet.
+  void set_fault(RegistryFault fault) { fault_ = fault; }
+  /// The shortest time from a call to its answer.
+  void set_answer_delay(std::int64_t us) { answer_delay_ = us; }
+  /// Closes the listener and resets all connections; up() listens at the same port again.
+  void down();
+  void up();
+  /// When calls arrived, in microseconds.
+  const std::vector<std::int64_t>& call_times() const { return call_times_; }
   /// Accepts connections and answers requests; never blocks.
   void step();
   /// All endpoints whose status is not `gone`.
@@ -37,12 +52,20 @@
   struct Conn {
     int fd;
     std::string in;
-    std::int64_t watch_since = 0;  // when the pending watch began; 0: none
-    std::int64_t from = -1;        // the index that the pending watch starts from
+    std::int64_t called_at = 0;  // when the pending call arrived; 0: none
+    std::int64_t hold = 0;       // how long the pending watch waits
+    std::int64_t from = -1;      // the index that the pending watch starts from; -1: the full list
   };
-  void answer(Conn& conn, bool full_list);
+  void accept_connections();
+  void read_call(Conn& conn);
+  void answer_if_due(Conn& conn);
+  void answer(Conn& conn);
+  void close(Conn& conn);
 
   int fd_, port_;
+  RegistryFault fault_ = RegistryFault::none;
+  std::int64_t answer_delay_ = 0;
+  std::vector<std::int64_t> call_times_;
   std::int64_t index_ = 1;
   std::map<std::string, json> entries_;
   std::map<std::string, std::int64_t> changed_;
--- a/tests/quic_peers_test.cpp
+++ b/tests/quic_peers_test.cpp
@@ -45,6 +45,19 @@
   CHECK(testbed.counter("marblehub_quic_sockets") <= (proxy ? 1 : 3));
 }
 
+// Guards against new connections to removed workers until discovery's first answer.
+TEST_CASE("a restarted QUIC front sends no new connection to a worker that its old list alone names",
+          "[peers]") {
+  Testbed testbed({"g-1", "g-2"});
+  REQUIRE(testbed.run(2000, [&] { return testbed.registry.has_watch(); }));
+  testbed.set_status(testbed.worker(0), "gone");
+  testbed.registry.set_answer_delay(500'000);
+  testbed.program->restart();
+  for (int i = 0; i < 10; ++i) testbed.client();
+  CHECK(testbed.run(4000, [&] { return testbed.all_connected(); }));
+  CHECK(testbed.worker(0).initials == 0);
+}
+
 TEST_CASE(
     "200 connections change address three times each while workers drain and die and the router restarts",
     "[peers]") {
