Hold calls until discovery has confirmed the list that a process starts with

Cause: a process asked discovery up to 4 s after its start, and decided by known until then: a list that nobody vouches for. Class: state of an earlier life taken as current.

The change: until discovery's first answer calls wait, also those to be resumed, and PING is not answered, so that the front sends nobody yet. The first call asks without a wait, so an unchanged list is confirmed too. Where two calls in a row cannot connect, or no answer comes in 5 s (8.5 s while one is due), the old list is used. First calls are spread over 4 s at 300 balancers and in proportion below; the first watch of an unchanged list comes as much later, so that no second call is added in the same seconds. Both fronts share it, as it stands in the policy; on the simulator's wire a pushed list counts as confirmed.

Logs and metrics: ready after how long and by which list, each line of a list (debug), the list's update with each attempt, marblehub_list_confirmed, marblehub_registry_unreachable_total, rejections with reason list_unconfirmed.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -270,6 +270,9 @@
         fields.fail("the number of a pool received before");
       e.entries = pools_[*slot];
     }
+    // A pushed list is confirmed by no answer: what has changed since follows by itself.
+    if (e.kind == EndpointListKind::cached && !instance.settings.pull_endpoints)
+      e.kind = EndpointListKind::full;
     event = std::move(e);
   } else if (verb == "work_item") {
     event = read_request(fields, instance, false, nullptr);
--- a/include/marblehub/policy.h
+++ b/include/marblehub/policy.h
@@ -71,6 +71,7 @@
   Time max_retry_after_us = 0;  // longest delay that clients honor
   Time connect_timeout_us = 250000;
   Time stop_sending_within_us = 0;  // after a backend is listed as draining or deleted; 0: immediately
+  Time must_ask_within_us = 0;      // a list may be used this long without a watch; 0: not limited
 
   double cold_share = 1;        // lower bound of a backend's capacity at its start, as a fraction
   Time warm_within_us = 0;      // upper bound of the time to full capacity
@@ -86,6 +87,10 @@
   std::string key;
 };
 
+/// Balancers that start together spread their first request for the endpoint list over this time, in
+/// proportion to their number, as they share one service discovery.
+Time first_call_spread(const Settings& settings);
+
 /// Returns the first invalid value, or nothing if the settings are valid.
 std::optional<SettingsError> validate(const Settings& settings);
 
@@ -105,8 +110,13 @@
 };
 
 /// What an endpoint list event carries: the changes since the previous list, the full list, the list cached
-/// before the start, or the failure of a request for the list.
-enum class EndpointListKind { changes, full, cached, failed };
+/// before the start, the failure of a request for the list, or the failure to connect to service discovery.
+enum class EndpointListKind { changes, full, cached, failed, unreachable };
+
+/// Whether new attempts may rely on the endpoint list. Unconfirmed: service discovery has not answered since
+/// the start, and backends of the cached list may have left or restarted; requests wait. Unavailable: service
+/// discovery cannot be reached, or has not answered in time, so that the cached list is used.
+enum class EndpointListState { unconfirmed, confirmed, unavailable };
 
 /// The endpoint list, a change of it, or a failed request for it.
 struct EndpointListEvent {
@@ -222,9 +232,9 @@
   Time deadline = 0;
   std::optional<Time> send_by = {};
 };
-/// Why a request is rejected: the fleet is at capacity, no attempt could be made before the deadline, or the
-/// attempts failed.
-enum class RejectReason { admission, expired, attempts_failed };
+/// Why a request is rejected: the fleet is at capacity, no attempt could be made before the deadline, the
+/// attempts failed, or the endpoint list was unconfirmed until the deadline.
+enum class RejectReason { admission, expired, attempts_failed, list_unconfirmed };
 /// Final answer: the request is rejected and may be retried safely. retry_after 0: no hint.
 struct Reject {
   std::uint64_t id = 0;
@@ -283,7 +293,8 @@
     std::size_t open = 0;        // open connections
     std::size_t down = 0;        // listed backends that are marked down
   };
-  Counts counts() const;                                     // O(requests)
+  Counts counts() const;  // O(requests)
+  EndpointListState endpoint_list_state() const;
   std::vector<std::string> down_backends() const;            // listed backends that are marked down
   int active_connections(const std::string& backend) const;  // open connections; 0 for an unknown backend
 
--- a/src/config/options.cpp
+++ b/src/config/options.cpp
@@ -22,6 +22,7 @@
   s.max_retry_after_us = options.number<Time>("limits.max_retry_after_us", 0);
   s.connect_timeout_us = options.number<Time>("limits.connect_timeout_us", 0);
   s.stop_sending_within_us = options.number_or<Time>("invariants.stop_sending_within_us", 0, 0);
+  s.must_ask_within_us = options.number_or<Time>("invariants.must_ask_in_us", 0, 0);
   s.cold_share = options.number<double>("invariants.cold_share", 0);
   s.warm_within_us = options.number<Time>("invariants.warm_within_us", 0);
   s.price_probe = options.number_or<double>("prices.probe", 0, 0);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -99,7 +99,8 @@
     exchange.withheld_ = true;
     return answer_and_close(exchange, Answer::failed, 0);
   }
-  log::debug("call {} sent to {}", exchange.id_, worker);
+  log::debug("call {} sent to {} by update {} of the worker list{}", exchange.id_, worker, list_version(),
+             list_state() == EndpointListState::confirmed ? "" : ", which is not confirmed");
   counters_.attempts.add();
   timers_.push({now() + wait, TimerKind::attempt, exchange.id_, attempt});
   exchange.address_ = workers_.address_of(worker);
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -47,8 +47,11 @@
   void probe_result(const std::string& worker, Time rtt, Outcome outcome, const LoadReport& report);
   /// Reports an answer of service discovery: a full list, or changes to the last one.
   void list_received(const config::WorkerList& list);
-  /// Reports that a request to service discovery has failed.
-  void list_failed();
+  /// Reports that a request to service discovery has failed. `reachable`: it was connected to.
+  void list_failed(bool reachable);
+  /// Whether calls are placed; before that they wait for the worker list to be confirmed.
+  bool is_ready() const { return list_state() != policy::EndpointListState::unconfirmed; }
+  policy::EndpointListState list_state() const { return balancer_.endpoint_list_state(); }
 
   // ---- Used by the rebalancing planner.
 
@@ -128,6 +131,7 @@
 
   // ---- The policy.
   void update_list(policy::EndpointListKind kind, const config::WorkerList& list);
+  void log_changes(const config::WorkerList& list) const;
   void notify(policy::Event event);
   void handle_events();
   void execute(const policy::Submit& action);
--- a/src/core/dispatcher_counters.cpp
+++ b/src/core/dispatcher_counters.cpp
@@ -11,8 +11,11 @@
 // By MoveReason.
 constexpr std::array<const char*, 8> kMoveReasonNames = {"draining", "down",    "overwhelmed", "late",
                                                          "silent",   "balance", "routes",      "restart"};
+// By policy::Health.
+constexpr std::array<const char*, 3> kHealthNames = {"ready", "draining", "gone"};
 // By RejectReason; `held` is RejectReason::expired.
-constexpr std::array<const char*, 3> kRejectReasonNames = {"admission", "held", "attempts_failed"};
+constexpr std::array<const char*, 4> kRejectReasonNames = {"admission", "held", "attempts_failed",
+                                                           "list_unconfirmed"};
 
 // The counter of one kind of final answer.
 Counter& answer_counter(Counters& counters, const char* answer) {
@@ -23,6 +26,7 @@
 
 const char* name_of(Outcome outcome) { return kOutcomeNames[static_cast<std::size_t>(outcome)]; }
 const char* name_of(MoveReason reason) { return kMoveReasonNames[static_cast<std::size_t>(reason)]; }
+const char* name_of(policy::Health health) { return kHealthNames[static_cast<std::size_t>(health)]; }
 
 DispatcherCounters::DispatcherCounters(Counters& counters)
     : calls(counters.counter("marblehub_calls_total", "Calls taken from clients")),
@@ -44,11 +48,15 @@
       probes(counters.counter("marblehub_probes_total", "Probes sent")),
       lists(counters.counter("marblehub_registry_answers_total", "Lists and changes told by the registry")),
       list_failures(counters.counter("marblehub_registry_failures_total", "Registry calls that failed")),
+      list_unreachable(counters.counter("marblehub_registry_unreachable_total",
+                                        "Registry calls that failed because it could not be connected to")),
       drain_stops(counters.counter("marblehub_drain_stops_total",
                                    "Attempts stopped because their worker had begun to leave")),
       established(counters.gauge("marblehub_connections", "Connections that stand")),
       waiting(counters.gauge("marblehub_calls_waiting", "Calls not yet answered")),
-      workers_down(counters.gauge("marblehub_workers_down", "Listed workers marked down")) {
+      workers_down(counters.gauge("marblehub_workers_down", "Listed workers marked down")),
+      list_confirmed(counters.gauge("marblehub_list_confirmed",
+                                    "1 once the registry has answered since the start, else 0")) {
   for (const char* name : kOutcomeNames)
     attempt_results_.push_back(&counters.counter("marblehub_attempt_results_total",
                                                  "How attempts ended, standing ones included",
--- a/src/core/dispatcher_counters.h
+++ b/src/core/dispatcher_counters.h
@@ -11,6 +11,7 @@
 /// Names used in metrics and log lines.
 const char* name_of(Outcome outcome);
 const char* name_of(MoveReason reason);
+const char* name_of(policy::Health health);
 
 /// References to the metrics, which are registered at construction and owned by `counters`.
 struct DispatcherCounters {
@@ -23,8 +24,8 @@
   Counter& rejection(policy::RejectReason reason) { return *rejections_[static_cast<std::size_t>(reason)]; }
 
   Counter &calls, &adopted, &served, &rejected, &failed, &clients_left, &deadline_answers, &attempts, &moves,
-      &silent_moves, &slow_updates, &probes, &lists, &list_failures, &drain_stops;
-  Counter &established, &waiting, &workers_down;  // gauges
+      &silent_moves, &slow_updates, &probes, &lists, &list_failures, &list_unreachable, &drain_stops;
+  Counter &established, &waiting, &workers_down, &list_confirmed;  // gauges
 
  private:
   std::vector<Counter*> attempt_results_, probe_results_;  // by Outcome
--- a/src/core/dispatcher_policy.cpp
+++ b/src/core/dispatcher_policy.cpp
@@ -45,12 +45,24 @@
 
 void Dispatcher::list_received(const config::WorkerList& list) {
   counters_.lists.add();
+  counters_.list_confirmed.set(1);
+  log_changes(list);
   update_list(list.snapshot ? EndpointListKind::full : EndpointListKind::changes, list);
 }
 
-void Dispatcher::list_failed() {
+// What each line of a list says, so that an attempt in the log can be held against it.
+void Dispatcher::log_changes(const config::WorkerList& list) const {
+  if (log::threshold > log::Level::debug) return;
+  for (const config::WorkerEntry& worker : list.workers)
+    log::debug("version {} of the worker list: {} at {} is {}, started at {}", list.index,
+               worker.backend.address, worker.address, name_of(worker.backend.health),
+               worker.backend.start_time);
+}
+
+void Dispatcher::list_failed(bool reachable) {
   counters_.list_failures.add();
-  notify(EndpointListEvent{EndpointListKind::failed, nullptr});
+  if (!reachable) counters_.list_unreachable.add();
+  notify(EndpointListEvent{reachable ? EndpointListKind::failed : EndpointListKind::unreachable, nullptr});
 }
 
 void Dispatcher::update_list(EndpointListKind kind, const config::WorkerList& list) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,7 +64,7 @@
         plan_(startup_.longest_deadline),
         descriptors_(startup_.sockets),
         probes_(loop_, startup_.settings.connect_timeout_us),
-        registry_(loop_, startup_.registry, startup_.known),
+        registry_(loop_, startup_.registry, startup_.known, first_watch_delay(startup_.settings)),
         agent_retry_timer_(loop_, [this] { registry_.watch_endpoints(); }),
         dispatcher_(startup_, loop_, probes_, registry_, metrics_),
         workers_(loop_, startup_.settings.connect_timeout_us, metrics_),
@@ -91,7 +91,7 @@
           dispatcher_.probe_result(worker, rtt, outcome, report);
         });
     registry_.set_handler({[this](const config::WorkerList& list) { dispatcher_.list_received(list); },
-                           [this] { on_list_failure(); }});
+                           [this](bool reachable) { on_list_failure(reachable); }});
   }
 
   void run() {
@@ -115,9 +115,18 @@
     dispatcher_.advance();
     dispatcher_.free_ended();
     dispatcher_.before_wait();
+    if (!ready_ && dispatcher_.is_ready()) become_ready();
     return dispatcher_.next_due() - loop_.now();
   }
 
+  void become_ready() {
+    ready_ = true;
+    const bool confirmed = dispatcher_.list_state() == policy::EndpointListState::confirmed;
+    log::info("{} is ready after {} ms, the worker list is {}", startup_.name,
+              (loop_.now() - started_at_) / 1000, confirmed ? "confirmed" : "the one known at the start");
+    listener_.set_ready();
+  }
+
   sockaddr_in address() const {
     return *net::parse_address(startup_.listen);  // validated by the decoder
   }
@@ -126,8 +135,15 @@
   // open.
   bool list_is_pushed() const { return !startup_.settings.pull_endpoints; }
 
-  void on_list_failure() {
-    dispatcher_.list_failed();
+  // Where lists are pushed, the agent on this machine serves this balancer alone.
+  static Time first_watch_delay(const policy::Settings& settings) {
+    if (!settings.pull_endpoints) return 0;
+    const Time spread = policy::first_call_spread(settings);
+    return settings.must_ask_within_us > 0 ? std::min(spread, settings.must_ask_within_us / 2) : spread;
+  }
+
+  void on_list_failure(bool reachable) {
+    dispatcher_.list_failed(reachable);
     if (list_is_pushed()) agent_retry_timer_.start(kAgentRetryDelay);
   }
 
@@ -324,7 +340,9 @@
   std::unique_ptr<fleet::FleetService> fleet_;  // null unless its file enables it
   net::SignalWatch terminate_signal_, interrupt_signal_, reload_signal_, print_signal_, pause_signal_;
   metrics::Metric &reloads_, &reloads_refused_;
+  const Time started_at_ = loop_.now();
   Time retiring_since_ = 0, idle_since_ = 0;
+  bool ready_ = false;  // see Dispatcher::is_ready
   bool moves_started_ = false, paused_ = false, input_read_first_ = false;
 };
 
--- a/src/model/balancer_events.cpp
+++ b/src/model/balancer_events.cpp
@@ -27,9 +27,11 @@
   pending_probes_.emplace_back(now(), number);
 }
 
-// The registry sends the latest update of each changed worker, then each update as it arrives.
+// The registry sends the latest update of each changed worker, or an empty answer, then each update as it
+// arrives.
 void BalancerProcess::watch_endpoints() {
   watching_ = true;
+  if (latest_updates_.empty()) dispatcher_->list_received({.snapshot = false});
   for (const auto& [worker, event] : latest_updates_) schedule(event, now() + scenario_.hop_delay);
 }
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -143,6 +143,13 @@
   fd_.reset();
 }
 
+void Listener::set_ready() {
+  ready_ = true;
+  // Links that end in this loop are released before the next wait, so the pointers stay valid.
+  const std::vector<ClientLink*> all(awaiting_request_.begin(), awaiting_request_.end());
+  for (ClientLink* link : all) link->answer_pings();
+}
+
 void Listener::close_silent_clients() {
   // Links that end in this loop are released before the next wait, so the pointers stay valid.
   const std::vector<ClientLink*> all(awaiting_request_.begin(), awaiting_request_.end());
@@ -189,18 +196,23 @@
     std::optional<std::string> line = take_line(input_);
     if (!line) return;
     if (*line != "PING") return handle_request(std::move(*line));
-    if (!answer_ping()) return malformed();
+    if (!accept_ping()) return malformed();
   }
 }
 
 // PINGs do not extend the request timeout, and their number is bounded.
-bool ClientLink::answer_ping() {
+bool ClientLink::accept_ping() {
   if (++pings_ > kMaxPings) return false;
   listener_.pings_.add();
-  send_line("PONG\r\n");
+  unanswered_pings_ += 1;
+  if (listener_.ready_) answer_pings();
   return true;
 }
 
+void ClientLink::answer_pings() {
+  for (; unanswered_pings_ > 0 && stream_; --unanswered_pings_) send_line("PONG\r\n");
+}
+
 void ClientLink::handle_request(std::string line) {
   core::Dispatcher& dispatcher = listener_.dispatcher_;
   std::optional<Opening> opening = parse_opening(line);
@@ -210,6 +222,7 @@
   if (!listener_.open_ids_.insert(id).second)
     return malformed();  // the id belongs to another client's open call
   id_ = std::move(id);
+  answer_pings();
   stop_awaiting_request();
   request_received_ = true;
   listener_.free_descriptors(0);
@@ -243,6 +256,7 @@
 void ClientLink::on_request_timeout() {
   stream_->read_now();
   if (!stream_ || request_received_) return;
+  if (unanswered_pings_ > 0) return request_timeout_.start(kRequestTimeout);  // it waits for this balancer
   listener_.silent_.add();
   end(Stream::drop);
 }
--- a/src/net/client_side.h
+++ b/src/net/client_side.h
@@ -37,6 +37,8 @@
   /// connection; the caller tries again later.
   void close();
   bool closed() const { return !fd_; }
+  /// From then on PING is answered, also those that came before.
+  void set_ready();
   /// Reads once more from clients without a request, and answers BUSY to those that still have none.
   void close_silent_clients();
   /// The number of clients that have sent no request yet.
@@ -55,6 +57,7 @@
   Loop& loop_;
   core::Dispatcher& dispatcher_;
   core::WorkerSide& workers_;
+  bool ready_ = false;  // while false, PINGs are not answered, so that the front sends no clients yet
   DescriptorBudget& descriptors_;
   Fd fd_;
   IoWatch io_;
@@ -101,7 +104,8 @@
   };
 
   void read_request_lines();
-  bool answer_ping();
+  bool accept_ping();
+  void answer_pings();
   void handle_request(std::string line);
   void malformed();
   void on_request_timeout();
@@ -124,7 +128,7 @@
   std::string input_;           // received, but not yet a complete line
   LineAssembler lines_;         // from the client, once established
   TimerWatch request_timeout_;  // runs from the connect to the request
-  int pings_ = 0;
+  int pings_ = 0, unanswered_pings_ = 0;
   std::string id_;  // from the request on
   std::list<std::unique_ptr<ClientLink>>::iterator position_;
   std::list<ClientLink*>::iterator awaiting_position_;
--- a/src/net/registry_watch.cpp
+++ b/src/net/registry_watch.cpp
@@ -11,6 +11,8 @@
 // Changes must be applied at most 2 s after the hold time of a watch. A short hold time detects a silent
 // registry soon; the policy retries up to 1.25 s after a failed call.
 constexpr Time kWatchHold = 8'000'000;
+// The hold time of calls until the first answer: the registry answers at once, also if nothing has changed.
+constexpr Time kConfirmationHold = 1'000;
 constexpr Time kWatchTimeout = kWatchHold + 600'000;
 // Changes must be applied at most 6 s after the registry fell silent. By then the pending call has timed out,
 // the policy's pause of up to 1.25 s is over, and the next call is answered.
@@ -42,9 +44,11 @@
 
 }  // namespace
 
-RegistryWatch::RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known)
+RegistryWatch::RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known,
+                             Time first_watch_delay)
     : loop_(loop),
       address_(std::move(address)),
+      first_watch_delay_(first_watch_delay),
       version_(known.workers.empty() ? kNoVersion : known.index),
       call_timer_(loop, [this] { on_call_timeout(); }),
       next_call_timer_(loop, [this] { send_request(); }) {}
@@ -98,8 +102,9 @@
 void RegistryWatch::connected() {
   request_sent_ = true;
   bool watches = version_ >= 0;
-  call_timer_.start(watches ? kWatchTimeout : kCallTimeout);
-  std::string query = watches ? fmt::format("?from={}&hold_ms={}", version_, kWatchHold / 1000) : "";
+  call_timer_.start(watches && confirmed_ ? kWatchTimeout : kCallTimeout);
+  const Time hold = confirmed_ ? kWatchHold : kConfirmationHold;
+  std::string query = watches ? fmt::format("?from={}&hold_ms={}", version_, hold / 1000) : "";
   stream_->write(fmt::format(
       "GET /registry/instances{} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", query, address_));
 }
@@ -145,11 +150,18 @@
   if (watched && list.index < version_) return request_full_list();
   if (watched) full_list_requested_ = false;
   version_ = list.index;
-  next_call_timer_.start(0);  // the registry continues a watch only if the next call comes within 200 ms
+  next_call_timer_.start(pause_before_next_call(list.workers.empty()));
   if (std::exchange(awaiting_first_answer_, false) || list.snapshot || !list.workers.empty())
     handler_.on_list(list);
 }
 
+// The registry continues a watch only if the next call comes within 200 ms. The first watch of an unchanged
+// list may wait, so that balancers that start together do not call twice at once.
+Time RegistryWatch::pause_before_next_call(bool unchanged) {
+  const bool is_first = !std::exchange(confirmed_, true);
+  return is_first && unchanged ? first_watch_delay_ : 0;
+}
+
 // Called for an answer older than the current list: either it is outdated or the registry restarted its
 // version count. The full list is accepted whatever its version. A second such answer counts as a failed
 // call.
@@ -174,10 +186,11 @@
 }
 
 void RegistryWatch::fail(const char* why) {
-  log::info("registry call failed: {}", why);
+  const bool reachable = request_sent_;
+  log::info("registry call failed: {}{}", why, reachable ? "" : ", not connected");
   next_call_timer_.stop();
   abandon_call();
-  handler_.on_failure();
+  handler_.on_failure(reachable);
 }
 
 }  // namespace marblehub::net
--- a/src/net/registry_watch.h
+++ b/src/net/registry_watch.h
@@ -12,17 +12,19 @@
 
 namespace marblehub::net {
 
-/// Fetches the list of workers and then watches for changes. One call is outstanding at a time; a watch is
-/// followed by the next as soon as it is answered. After a failure it waits for watch_endpoints.
+/// Asks for what has changed since the list known at the start, and then watches for changes. One call is
+/// outstanding at a time; a watch is followed by the next as soon as it is answered. After a failure it waits
+/// for watch_endpoints.
 class RegistryWatch final : public core::Registry, public Stream::Handler {
  public:
   /// Receives each list, or a notification that a call failed.
   struct Handler {
     std::function<void(const config::WorkerList&)> on_list;
-    std::function<void()> on_failure;
+    std::function<void(bool reachable)> on_failure;  // reachable: the registry was connected to
   };
-  /// Requests the changes since the list `known`, or the full list if that one is empty.
-  RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known);
+  /// Requests the changes since the list `known`, or the full list if that one is empty. A list that is
+  /// confirmed unchanged is watched after `first_watch_delay`, in microseconds.
+  RegistryWatch(Loop& loop, std::string address, const config::WorkerList& known, Time first_watch_delay);
   ~RegistryWatch() override;
   void set_handler(Handler handler) { handler_ = std::move(handler); }
   void close();  ///< no further call is made, and a pending one is abandoned
@@ -43,11 +45,13 @@
   void abandon_call();  // its answer is ignored
   void on_call_timeout();
   void complete();
+  Time pause_before_next_call(bool unchanged);
   void request_full_list();
   void fail(const char* why);
 
   Loop& loop_;
   std::string address_;
+  const Time first_watch_delay_;
   std::int64_t version_;
   Handler handler_;
   std::unique_ptr<Stream> stream_;
@@ -57,6 +61,7 @@
   bool call_pending_ = false, closed_ = false, awaiting_first_answer_ = true;
   bool request_sent_ = false, response_started_ = false;  // of the pending call
   bool bytes_received_ = false;                           // since it was last cleared
+  bool confirmed_ = false;                                // whether an answer has come since the start
   bool full_list_requested_ = false;  // after an outdated answer, until a watch is answered correctly
 };
 
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -54,8 +54,8 @@
   Admission admission{context, backends, delays};
   Migration migration{context, backends, delays, admission, requests};
   Resumptions resumptions{context, backends, endpoints};
-  RequestHandler handler{
-      {context, backends, requests, groups, delays, ramp, rules, admission, prober, selector, resumptions}};
+  RequestHandler handler{{context, backends, requests, groups, delays, ramp, rules, admission, prober,
+                          selector, endpoints, resumptions}};
   Time sweep_due = kNotScheduled;
 };
 
@@ -105,6 +105,8 @@
   return counts;
 }
 
+EndpointListState Balancer::endpoint_list_state() const { return impl_->endpoints.state(); }
+
 std::vector<std::string> Balancer::down_backends() const { return impl_->backends.down_backends(); }
 
 int Balancer::active_connections(const std::string& backend) const {
--- a/src/policy/discovery/endpoint_list.cpp
+++ b/src/policy/discovery/endpoint_list.cpp
@@ -10,18 +10,25 @@
 // Maximum backoff: after an outage of service discovery, the list must arrive within 6 s.
 constexpr Time kMaxBackoff = 3500 * kMillisecond;
 
-// Balancers may start simultaneously, so their first requests are spread over this time.
-constexpr Time kFirstCallSpread = 4 * kSecond;
+// A call that is not answered within this time counts as failed.
+constexpr Time kMaxAnswerTime = 3500 * kMillisecond;
+// From then on the cached list is used unless an answer is due. Longer than the spread of the first calls.
+constexpr Time kConfirmationTime = 5 * kSecond;
+// Service discovery that refuses one connection may be restarting; two calls are about 1 s apart.
+constexpr int kMaxUnreachableCalls = 2;
 
 }  // namespace
 
 void EndpointList::on(const EndpointListEvent& event) {
   call_in_flight_ = false;
-  if (event.kind == EndpointListKind::failed) return call_failed();
+  unreachable_calls_ = event.kind == EndpointListKind::unreachable ? unreachable_calls_ + 1 : 0;
+  if (event.kind == EndpointListKind::failed || event.kind == EndpointListKind::unreachable)
+    return call_failed();
   if (event.kind == EndpointListKind::cached) {
-    next_call_at_ = context_.now + context_.random.up_to(kFirstCallSpread);
+    next_call_at_ = context_.now + context_.random.up_to(first_call_spread(context_.settings));
   } else {
-    watching_ = confirmed_ = true;
+    watching_ = true;
+    state_ = EndpointListState::confirmed;
     backoff_ = kSecond;
   }
   if (event.kind != EndpointListKind::changes)
@@ -35,6 +42,7 @@
 // Exponential backoff with jitter: all balancers share one discovery service.
 void EndpointList::call_failed() {
   watching_ = false;
+  give_up_confirmation_if_due();
   Time after_last_call = std::max<Time>(0, called_at_) + context_.random.jittered(backoff_);
   Time from_now = context_.now + context_.random.jittered(kSecond);
   next_call_at_ = std::max(from_now, after_last_call);
@@ -67,7 +75,16 @@
   if (called_at_ == kNotCalled) next_call_at_ = std::min(next_call_at_, context_.now);
 }
 
+// Service must not depend on service discovery: after a while the cached list is better than none.
+void EndpointList::give_up_confirmation_if_due() {
+  if (state_ != EndpointListState::unconfirmed) return;
+  const bool answer_is_due = call_in_flight_ && context_.now - called_at_ < kMaxAnswerTime;
+  const bool time_is_up = context_.now - context_.started_at >= kConfirmationTime && !answer_is_due;
+  if (time_is_up || unreachable_calls_ >= kMaxUnreachableCalls) state_ = EndpointListState::unavailable;
+}
+
 void EndpointList::poll() {
+  give_up_confirmation_if_due();
   if (!context_.settings.pull_endpoints || watching_ || call_in_flight_ || context_.now < next_call_at_)
     return;
   call_in_flight_ = true;
--- a/src/policy/discovery/endpoint_list.h
+++ b/src/policy/discovery/endpoint_list.h
@@ -15,12 +15,15 @@
   /// Applies a list or a change of it, or schedules the next request after a failed one.
   void on(const EndpointListEvent& event);
 
-  /// Requests the list if it is not pushed, no watch is open and the backoff has elapsed. Called once per
-  /// sweep.
+  /// Requests the list if it is not pushed, no watch is open and the backoff has elapsed, and gives up
+  /// waiting for its confirmation in time. Called once per sweep.
   void poll();
 
+  /// Whether new attempts may rely on the list.
+  EndpointListState state() const { return state_; }
+
   /// Whether service discovery has answered since the start, so that the list is not only a cached one.
-  bool is_confirmed() const { return confirmed_; }
+  bool is_confirmed() const { return state_ == EndpointListState::confirmed; }
 
   /// Requests the first list at once instead of after a random delay. No effect after the first request.
   void request_first_list();
@@ -29,13 +32,15 @@
   static constexpr Time kNotCalled = -1;
 
   void call_failed();
+  void give_up_confirmation_if_due();
   void apply(const BackendEntry& entry);
   void update_leaving_since();
 
   Context& context_;
   BackendTable& backends_;
   bool watching_ = false;
-  bool confirmed_ = false;
+  EndpointListState state_ = EndpointListState::unconfirmed;
+  int unreachable_calls_ = 0;  // in a row
   bool call_in_flight_ = false;
   Time next_call_at_ = 0;
   Time called_at_ = kNotCalled;
--- a/src/policy/requests/request_handler.cpp
+++ b/src/policy/requests/request_handler.cpp
@@ -20,11 +20,6 @@
 // Delay assumed for a backend that has reset a connection, in objectives.
 constexpr double kResetDelayObjectives = 2;
 
-RejectReason rejection_reason(const Request& request) {
-  return request.history.execution() == Execution::not_sent ? RejectReason::expired
-                                                            : RejectReason::attempts_failed;
-}
-
 }  // namespace
 
 // ---- Arrival
@@ -141,6 +136,7 @@
   Time left = request.deadline - deps_.context.now - kSweepInterval;
   bool attempts_left = request.attempts < deps_.context.settings.max_attempts;
   if (left <= 0 || !attempts_left || !deps_.rules.repeatable(request)) return reject_or_fail(id, request);
+  if (list_is_unconfirmed()) return;  // waits; the sweep tries again
   Time objective = deps_.rules.class_of(request).slo_us;
   SetupLimiter& limiter = limiter_of(request);
   if (limiter.at_limit(deps_.context.now, objective)) return;  // waits; the sweep tries again
@@ -200,6 +196,11 @@
 
 // ---- Answers
 
+RejectReason RequestHandler::rejection_reason(const Request& request) const {
+  if (request.history.execution() != Execution::not_sent) return RejectReason::attempts_failed;
+  return list_is_unconfirmed() ? RejectReason::list_unconfirmed : RejectReason::expired;
+}
+
 // Sends the final answer, with a random delay before a retry.
 void RequestHandler::reject_or_fail(std::uint64_t id, Request& request) {
   if (!deps_.rules.may_reject(request)) return fail(id, request);
--- a/src/policy/requests/request_handler.h
+++ b/src/policy/requests/request_handler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "policy/context.h"
+#include "policy/discovery/endpoint_list.h"
 #include "policy/health/delay_signals.h"
 #include "policy/health/prober.h"
 #include "policy/placement/selector.h"
@@ -31,6 +32,7 @@
     const Admission& admission;
     Prober& prober;
     Selector& selector;
+    const EndpointList& endpoints;
     Resumptions& resumptions;
   };
 
@@ -74,6 +76,8 @@
   void reject(std::uint64_t id, Request& request, Time retry_after, RejectReason reason);
   void fail(std::uint64_t id, Request& request);
   void end_request(std::uint64_t id, Request& request);
+  bool list_is_unconfirmed() const { return deps_.endpoints.state() == EndpointListState::unconfirmed; }
+  RejectReason rejection_reason(const Request& request) const;
 
   SetupLimiter& limiter_of(const Request& request) {
     return limiters_.find_or_add(request.allowed_backends, deps_.context.now);
--- a/src/policy/requests/resumptions.cpp
+++ b/src/policy/requests/resumptions.cpp
@@ -31,6 +31,8 @@
     endpoints_.request_first_list();
     return Step::wait;
   }
+  // The backend may have another address by now.
+  if (endpoints_.state() == EndpointListState::unconfirmed) return Step::wait;
   if (attempts >= kMaxAttempts) return Step::give_up;
   return context_.now >= pending.next_attempt_at ? Step::submit : Step::wait;
 }
--- a/src/policy/settings.cpp
+++ b/src/policy/settings.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cmath>
 
 #include "marblehub/policy.h"
@@ -14,6 +15,13 @@
   return shortest > 0 ? shortest : default_objective;
 }
 
+Time first_call_spread(const Settings& settings) {
+  constexpr Time longest_spread = 4'000'000;
+  constexpr int balancers_of_longest_spread = 300;
+  const int balancers = std::min(settings.balancers, balancers_of_longest_spread);
+  return longest_spread * balancers / balancers_of_longest_spread;
+}
+
 std::optional<SettingsError> validate(const Settings& s) {
   auto is_finite_non_negative = [](double value) { return std::isfinite(value) && value >= 0; };
   if (s.balancers < 1) return SettingsError{"balancers"};
@@ -21,6 +29,7 @@
   if (s.max_retry_after_us < 0) return SettingsError{"limits.max_retry_after_us"};
   if (s.connect_timeout_us < 0) return SettingsError{"limits.connect_timeout_us"};
   if (s.stop_sending_within_us < 0) return SettingsError{"invariants.stop_sending_within_us"};
+  if (s.must_ask_within_us < 0) return SettingsError{"invariants.must_ask_in_us"};
   if (!(s.cold_share > 0 && s.cold_share <= 1)) return SettingsError{"invariants.cold_share"};
   if (s.warm_within_us < 0) return SettingsError{"invariants.warm_within_us"};
   if (!is_finite_non_negative(s.price_probe)) return SettingsError{"prices.probe"};
