Fail an unsafe call that comes again after its client has left

Operators saw ids run twice that came again after their client had left. Cause: the process forgot a call with its client, although an attempt had reached a worker; the id of an open call alone was refused. Class: what may have run is forgotten with the connection.

The core remembers such calls, and those answered as failed, by the id that the client gave them, for 60 s and up to 65,536: where a class may not be repeated anywhere, one that comes again is failed and not sent. On both fronts; at another process, or after a restart, nothing is known of them.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -57,6 +57,13 @@
     notify(ResumeEvent{request_of(exchange), exchange.call().handover_worker});
     return exchange;
   }
+  if (executed_calls_.contains(exchange.call().identity, now())) {  // the policy does not see it
+    log::debug("call {} has an id that may have been executed before", exchange.id_);
+    counters_.repeated_ids.add();
+    answer(exchange, Answer::failed, 0, "");
+    close(exchange);
+    return exchange;
+  }
   if (gate_) {
     CallGate::Decision decision = gate_->admit(exchange.id_, exchange.call());
     if (decision.rejected) {  // the policy does not see it
@@ -151,6 +158,12 @@
   notify(std::move(event));
 }
 
+// Only calls that must not be repeated anywhere: their workers would execute them again.
+void Dispatcher::remember_executed(const Exchange& exchange) {
+  if (rejection_allowed(class_of(exchange), true)) return;
+  executed_calls_.add(exchange.call().identity, now());
+}
+
 void Dispatcher::client_left(Exchange& exchange, bool was_established) {
   if (!was_established) {
     counters_.clients_left.add();
@@ -187,6 +200,7 @@
     exchange.answer_overload(pause);
   } else {
     counters_.failed.add();
+    if (exchange.may_have_run()) remember_executed(exchange);
     exchange.answer_failed(error_text);
   }
 }
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -13,6 +13,7 @@
 #include "core/connection_observer.h"
 #include "core/dispatcher_counters.h"
 #include "core/exchange.h"
+#include "core/executed_calls.h"
 #include "core/message_monitor.h"
 #include "core/ports.h"
 #include "core/timer_queue.h"
@@ -113,6 +114,7 @@
   void message_answered(Exchange& exchange, Time delay);
   void load_changed(Exchange& exchange, double load);
   void attempt_over(Exchange& exchange, Outcome outcome, const LoadReport& report, bool terminal);
+  void remember_executed(const Exchange& exchange);
   void client_left(Exchange& exchange, bool was_established);
   void redirected(Exchange& exchange, MoveReason reason);
   void watch_messages(Exchange& exchange) { messages_.watch(exchange.id_); }
@@ -171,6 +173,7 @@
   std::size_t unanswered_ = 0;
 
   WorkerDirectory workers_;
+  ExecutedCalls executed_calls_;
   MessageMonitor messages_;
   TimerQueue timers_;
   Time poll_started_at_ = 0;  // input read now may have arrived since; 0: unknown
--- a/src/core/dispatcher_counters.cpp
+++ b/src/core/dispatcher_counters.cpp
@@ -52,6 +52,8 @@
                                         "Registry calls that failed because it could not be connected to")),
       drain_stops(counters.counter("marblehub_drain_stops_total",
                                    "Attempts stopped because their worker had begun to leave")),
+      repeated_ids(counters.counter("marblehub_repeated_ids_total",
+                                    "Calls failed because one of the same id may have been executed")),
       established(counters.gauge("marblehub_connections", "Connections that stand")),
       waiting(counters.gauge("marblehub_calls_waiting", "Calls not yet answered")),
       workers_down(counters.gauge("marblehub_workers_down", "Listed workers marked down")),
--- a/src/core/dispatcher_counters.h
+++ b/src/core/dispatcher_counters.h
@@ -24,7 +24,8 @@
   Counter& rejection(policy::RejectReason reason) { return *rejections_[static_cast<std::size_t>(reason)]; }
 
   Counter &calls, &adopted, &served, &rejected, &failed, &clients_left, &deadline_answers, &attempts, &moves,
-      &silent_moves, &slow_updates, &probes, &lists, &list_failures, &list_unreachable, &drain_stops;
+      &silent_moves, &slow_updates, &probes, &lists, &list_failures, &list_unreachable, &drain_stops,
+      &repeated_ids;
   Counter &established, &waiting, &workers_down, &list_confirmed;  // gauges
 
  private:
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -31,6 +31,7 @@
   client_ = nullptr;
   if (state_ == State::over) return;
   bool was_established = state_ == State::established;
+  if (was_established || may_have_run()) dispatcher_.remember_executed(*this);
   state_ = State::over;
   if (attempt_) {
     attempt_->finish(close_kind);
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -21,6 +21,7 @@
 /// A client's request, as decoded by its front.
 struct Call {
   int request_class = 0;
+  std::uint64_t identity = 0;   // hash of the id that the client gave it; 0: none
   Time expires_in = 0;          // until the client's deadline
   double load_hint = 0;         // expected work per second, in microseconds; 0: unknown
   bool returned = false;        // the client reconnects after a failure or a move
@@ -99,6 +100,7 @@
   void record_possible_run() {
     if (!possible_run_) possible_run_ = std::move(attempt_group_);
   }
+  /// Whether an attempt has been executed or may have been.
   bool may_have_run() const { return possible_run_ || (attempt_ && !attempt_->proved_not_run()); }
 
   Dispatcher& dispatcher_;
--- a/src/core/executed_calls.h
+++ b/src/core/executed_calls.h
@@ -11,8 +11,8 @@
 
 namespace marblehub::core {
 
-/// Recognizes a call that comes again after its client has left or its attempt has failed, and that must not be
-/// executed a second time. Holds a bounded number of calls, the oldest of which are forgotten first.
+/// Recognizes a call that comes again after its client has left or its attempt has failed, and that must not
+/// be executed a second time. Holds a bounded number of calls, the oldest of which are forgotten first.
 class ExecutedCalls {
  public:
   /// How long a call is remembered, in microseconds.
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -233,6 +233,7 @@
   log::debug("asked {}", line);  // id and key identify the client in the logs of all balancers
   core::Call call;
   call.request_class = request_class;
+  call.identity = nonzero_name_hash(id_);
   call.expires_in = std::min(opening->wait_ms, kMaxWaitMs) * 1000;
   call.load_hint = opening->load_hint;
   call.returned = opening->returning;
--- a/src/quic/front.cpp
+++ b/src/quic/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "check/check.h"
+#include "net/lines.h"
 #include "quic/initial.h"
 
 namespace marblehub::quic {
@@ -211,12 +212,20 @@
   return call;
 }
 
+// The id that the client chose, which a Retry of a worker replaces in its later Initials.
+core::Call Front::call_of(const Flow& flow) const {
+  core::Call call = this->call();
+  const ConnectionId& id = flow.original_destination ? *flow.original_destination : flow.first_destination;
+  call.identity = net::nonzero_name_hash(id.view());
+  return call;
+}
+
 // Adds a flow to the table and passes its call to the core.
 void Front::begin_call(const std::shared_ptr<Flow>& flow, const FlowKey& key, std::string_view bytes) {
   if (!insert(flow, key)) return;
   flow->last_used = now_;
   flow->bytes_received = bytes.size();
-  core::Exchange& exchange = dispatcher_.accept_call(call(), *flow, *flow);
+  core::Exchange& exchange = dispatcher_.accept_call(call_of(*flow), *flow, *flow);
   if (!flow->refused() && !flow->finished) flow->exchange = &exchange;  // else it ended inside accept_call
 }
 
--- a/src/quic/front.h
+++ b/src/quic/front.h
@@ -75,6 +75,7 @@
                       const std::optional<RetryToken>& token);
   void handle_pending(Flow& flow, const Datagram& datagram, std::string_view bytes);
   void route_by_address(std::string_view bytes, const Datagram& datagram);
+  core::Call call_of(const Flow& flow) const;
   core::Call call() const;  // the request class and deadline of every call of this front
   void begin_call(const std::shared_ptr<Flow>& flow, const FlowKey& key, std::string_view bytes);
   void route_by_id(const IdCodec::Decoded& id, std::string_view bytes, const Datagram& datagram);
--- a/tests/soak/stand_ins.cpp
+++ b/tests/soak/stand_ins.cpp
@@ -65,6 +65,7 @@
   link.serves = true;
   const std::string id = line.substr(5, line.find(' ', 5) - 5);
   requests_.push_back({id, now_ms()});
+  if (silent_) return;
   send_text(link.fd, fmt::format("UP r-{}\r\n", id));
 }
 
@@ -77,7 +78,9 @@
 
 StandInClient::~StandInClient() { leave(); }
 
-void StandInClient::leave() {
+void StandInClient::leave(bool reset) {
+  linger hard{1, 0};
+  if (reset && fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
   if (fd_ >= 0) ::close(std::exchange(fd_, -1));
 }
 
--- a/tests/soak/stand_ins.h
+++ b/tests/soak/stand_ins.h
@@ -27,6 +27,8 @@
   const std::string& name() const { return name_; }
   std::string address() const { return loopback_address_text(port_of(listener_)); }
   const std::vector<ArrivedRequest>& requests() const { return requests_; }
+  /// While it is silent it reads requests and does not answer them.
+  void set_silent(bool silent) { silent_ = silent; }
   /// While it hangs it reads nothing and answers nothing.
   void set_hanging(bool hanging) { hanging_ = hanging; }
   void step();
@@ -43,7 +45,7 @@
 
   const std::string name_;
   const int listener_;
-  bool hanging_ = false;
+  bool hanging_ = false, silent_ = false;
   std::list<Link> links_;
   std::vector<ArrivedRequest> requests_;
 };
@@ -67,7 +69,8 @@
   bool closed() const { return fd_ < 0; }
   std::int64_t asked_at_ms() const { return asked_at_ms_; }
   std::int64_t answered_at_ms() const { return answered_at_ms_; }
-  void leave();
+  /// Closes the connection, with a reset if there is unread input or `reset`.
+  void leave(bool reset = false);
 
  private:
   const std::string id_;
