--- a/conformance/suites/faults.cpp
+++ b/conformance/suites/faults.cpp
@@ -28,7 +28,8 @@
       testbed.client(options);
     }
     testbed.run(6000, [&] { return testbed.all_connected(); });
-    testbed.run(500);  // workers confirm the handshakes, before which no client may change its address (RFC 9000, 9)
+    testbed.run(
+        500);  // workers confirm the handshakes, before which no client may change its address (RFC 9000, 9)
     for (int i = 0; i < 5; ++i) {
       for (auto& c : testbed.clients) {
         c->request("r" + std::to_string(i));
