--- a/src/model/balancer_events.cpp
+++ b/src/model/balancer_events.cpp
@@ -31,7 +31,9 @@
 // arrives.
 void BalancerProcess::watch_endpoints() {
   watching_ = true;
-  if (latest_updates_.empty()) dispatcher_->list_received({.snapshot = false});
+  config::WorkerList unchanged;
+  unchanged.snapshot = false;
+  if (latest_updates_.empty()) dispatcher_->list_received(unchanged);
   for (const auto& [worker, event] : latest_updates_) schedule(event, now() + scenario_.hop_delay);
 }
 
--- a/tests/fleet/service/dispatcher_fixture.h
+++ b/tests/fleet/service/dispatcher_fixture.h
@@ -45,7 +45,9 @@
     for (const BackendEntry& entry : test::workers(workers))
       startup.known.workers.push_back({entry, "127.0.0.1:1"});
     dispatcher = std::make_unique<core::Dispatcher>(startup, *this, *this, *this, metrics);
-    dispatcher->list_received({.snapshot = false});  // confirms the known list, so that calls are placed
+    config::WorkerList unchanged;
+    unchanged.snapshot = false;
+    dispatcher->list_received(unchanged);  // confirms the known list, so that calls are placed
   }
   void run(Time span) {
     for (const Time end = at + span; at < end;) {
